--- /dev/null
+++ b/packages/qz_core/logging/logger.h
@@ -0,0 +1,34 @@
+// Logs as JSON lines on standard error, by log4cplus.
+#pragma once
+
+#include "qz_core/errors/error.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace qz {
+
+enum class LogLevel { Debug, Info, Warning, Error };
+
+/// Prepares logging for this process. To be called once, before any log line, and kept
+/// alive until the process ends.
+class LogSession
+{
+public:
+    /// Lines below @p level are left out. @p instance is stated on every line.
+    LogSession(LogLevel level, std::string instance);
+    ~LogSession();
+    LogSession(const LogSession &) = delete;
+    LogSession &operator=(const LogSession &) = delete;
+};
+
+/// Writes one JSON line: time, level, instance, event and the members of @p fields.
+/// Never pass a key, token or other secret.
+void log(LogLevel level, std::string_view event, nlohmann::json fields = nlohmann::json::object());
+
+/// Reads "debug", "info", "warning" or "error".
+Result<LogLevel> parseLogLevel(std::string_view name);
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_core/time/clock.h
@@ -0,0 +1,27 @@
+// The only source of time for decisions. Packages take a Clock (or a TimePoint) and never
+// ask the operating system themselves, so that a test can pause and advance time.
+#pragma once
+
+#include <chrono>
+
+namespace qz {
+
+using Duration = std::chrono::nanoseconds;
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/// A monotonic clock of one process. Its values mean nothing to another process: what
+/// crosses a link is a remaining Duration, never a TimePoint.
+/// @see EventLoop, ManualClock
+class Clock
+{
+public:
+    Clock() = default;
+    Clock(const Clock &) = delete;
+    Clock &operator=(const Clock &) = delete;
+    virtual ~Clock() = default;
+
+    /// The current time. Never falls.
+    virtual TimePoint now() const = 0;
+};
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_platform/qz_platform.h
@@ -0,0 +1,9 @@
+// Package:      qz_platform
+// Purpose:      the platform's table, object store and instance list: interfaces that the
+//               other packages stand on, and clients by HTTP and JSON.
+// Dependencies: qz_core, libevent's evhttp client
+#pragma once
+
+#include "qz_platform/instances/instancelist.h"
+#include "qz_platform/objects/objectstore.h"
+#include "qz_platform/table/table.h"
