--- a/packages/qz_core/logging/logger.cpp
+++ b/packages/qz_core/logging/logger.cpp
@@ -63,7 +63,7 @@
 {
     static log4cplus::Initializer initializer;
     instanceName() = std::move(instance);
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
     rootLogger().removeAllAppenders();
     rootLogger().addAppender(appender);
--- a/packages/qz_core/logging/logger.h
+++ b/packages/qz_core/logging/logger.h
@@ -1,4 +1,5 @@
-// Logs as JSON lines on standard error, by log4cplus.
+// Logs as JSON lines on standard output, by log4cplus. Standard error is left to libraries
+// that write there by themselves, so that every line of the log is JSON.
 #pragma once
 
 #include "qz_core/errors/error.h"
--- a/packages/qz_platform/instances/instancelist.h
+++ b/packages/qz_platform/instances/instancelist.h
@@ -43,6 +43,12 @@
     std::vector<ListedBackendServer> backendServers_;
 };
 
+/// Reads the platform's JSON. Errors: MalformedReply.
+Result<InstanceListing> parseInstanceListing(const std::string &text);
+
+/// Writes the platform's JSON.
+std::string formatInstanceListing(const InstanceListing &listing);
+
 /// The list of instances. Errors as for Table.
 class InstanceList
 {
