Add at-most-once claims of idempotency keys and manual timers

A request that may not be repeated needs a claim before it is sent: a row written only if it is absent, under a token that is fresh for each try. ClaimClient settles a lost answer by reading the row back and comparing the token, releases by rewriting the row (not by erasing it, so that a late write never meets a reused version), and erases rows after their time.

--- a/packages/qz_core/qz_core.h
+++ b/packages/qz_core/qz_core.h
@@ -14,3 +14,4 @@
 #include "qz_core/settings/settingsreader.h"
 #include "qz_core/time/clock.h"
 #include "qz_core/time/manualclock.h"
+#include "qz_core/time/manualtimers.h"
--- /dev/null
+++ b/packages/qz_once/claims/claimlimits.h
@@ -0,0 +1,27 @@
+// Bounds of claiming, settling and keeping.
+#pragma once
+
+#include "qz_core/time/clock.h"
+
+#include <cstddef>
+
+namespace qz {
+
+/// Bounds of a ClaimClient.
+/// Invariant: sendWindow_ is far below the least time for which a claim is kept, so that no
+/// grant is still good when its row is erased.
+struct ClaimLimits
+{
+    Duration sendWindow_ = std::chrono::seconds(30); ///< From claim() until a grant ends.
+    Duration answerLimit_ = std::chrono::seconds(2); ///< No new try of a claim after this.
+    int tries_ = 4;                                  ///< Writes of one claim, at most.
+    std::size_t settlesInFlight_ = 16;
+    std::size_t settleQueue_ = 4096; ///< Results waiting to be recorded; more are dropped.
+    std::size_t keptRows_ = 500'000; ///< Rows remembered for erasing; more stay in the table.
+    std::size_t erasesPerSecond_ = 50;
+};
+
+/// The least time for which a claim is kept, in send windows.
+constexpr int leastKeepInSendWindows = 4;
+
+} // namespace qz
