Add qz_health: evidence, outlier detection and weights at a gate

Sliding counts, latency by kind and cumulative sums against the service's baseline, requests in flight included; a digest under 200 bytes; three detectors; weights with a ramp.

--- /dev/null
+++ b/packages/qz_health/detection/outlierdetector.cpp
@@ -0,0 +1,16 @@
+#include "qz_health/detection/outlierdetector.h"
+
+namespace qz {
+
+OutlierDetector::OutlierDetector(Policy policy)
+    : policy_(policy)
+{
+}
+
+Verdict OutlierDetector::judge(const EvidenceDigest &own,
+                               const std::vector<EvidenceDigest> &others) const
+{
+    return std::visit([&](const auto &policy) { return policy.judge(own, others); }, policy_);
+}
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_health/detection/successratedetector.cpp
@@ -0,0 +1,48 @@
+#include "qz_health/detection/successratedetector.h"
+
+#include <cmath>
+
+namespace qz {
+
+namespace {
+
+constexpr unsigned minRequests = 10; ///< In the sliding window, for a server to be judged.
+constexpr std::size_t minServers = 3;
+constexpr double deviationFactor = 1.9;
+
+double successRate(const EvidenceDigest &digest)
+{
+    return 1.0 - static_cast<double>(digest.errors()) / digest.total();
+}
+
+} // namespace
+
+Verdict SuccessRateDetector::judge(const EvidenceDigest &own,
+                                   const std::vector<EvidenceDigest> &others) const
+{
+    if (own.total() < minRequests) {
+        return Verdict{ NoEvidence{}, 0 };
+    }
+    std::vector<double> rates{ successRate(own) };
+    for (const EvidenceDigest &other : others) {
+        if (other.total() >= minRequests) {
+            rates.push_back(successRate(other));
+        }
+    }
+    if (rates.size() < minServers) {
+        return Verdict{ NoEvidence{}, 0 };
+    }
+    double mean = 0;
+    double square = 0;
+    for (const double rate : rates) {
+        mean += rate / static_cast<double>(rates.size());
+        square += rate * rate / static_cast<double>(rates.size());
+    }
+    const double deviation = std::sqrt(std::max(0.0, square - mean * mean));
+    if (rates.front() < mean - deviationFactor * deviation) {
+        return Verdict{ Failing{ 1 - rates.front() }, 1 };
+    }
+    return Verdict{ Healthy{}, 1 };
+}
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_health/evidence/latencymodel.cpp
@@ -0,0 +1,45 @@
+#include "qz_health/evidence/latencymodel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace qz {
+
+namespace {
+
+constexpr double minEndedRatio = -1.5;
+constexpr double maxEndedRatio = 3.0;
+constexpr double maxRunningRatio = 6.0;
+constexpr double minSeconds = 1e-4;
+
+/// The probability that a normal variable is above @p z, kept above zero.
+double upperTail(double z)
+{
+    constexpr double smallestTail = 1e-30;
+    return std::max(0.5 * std::erfc(z / std::sqrt(2.0)), smallestTail);
+}
+
+} // namespace
+
+double logSeconds(Duration latency)
+{
+    const double seconds = std::chrono::duration<double>(latency).count();
+    return std::log(std::max(seconds, minSeconds));
+}
+
+double LatencyModel::endedRatio(Duration latency) const
+{
+    const double residual = logSeconds(latency) - meanLog_;
+    const double ratio = slowShift / (spreadLog_ * spreadLog_) * (residual - slowShift / 2);
+    return std::clamp(ratio, minEndedRatio, maxEndedRatio);
+}
+
+double LatencyModel::runningRatio(Duration age) const
+{
+    const double z = (logSeconds(age) - meanLog_) / spreadLog_;
+    const double slowZ = z - slowShift / spreadLog_;
+    const double ratio = std::log(upperTail(slowZ)) - std::log(upperTail(z));
+    return std::clamp(ratio, 0.0, maxRunningRatio);
+}
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_health/qz_health.h
@@ -0,0 +1,13 @@
+// Package:      qz_health
+// Purpose:      which backend servers are sick: evidence at gates, comparison within a
+//               service, weights, ejection under the floor and re-admission.
+// Dependencies: qz_core, qz_platform, msgpack-cxx, nlohmann-json
+#pragma once
+
+#include "qz_health/detection/outlierdetector.h"
+#include "qz_health/detection/verdict.h"
+#include "qz_health/evidence/evidencedigest.h"
+#include "qz_health/evidence/observation.h"
+#include "qz_health/evidence/serverevidence.h"
+#include "qz_health/evidence/servicebaseline.h"
+#include "qz_health/weights/weightcontroller.h"
--- /dev/null
+++ b/packages/qz_health/tests/evidencetest.cpp
@@ -0,0 +1,143 @@
+// Evidence of one server and what the detector makes of it.
+#include "qz_health/qz_health.h"
+
+#include "qz_core/time/manualclock.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <sstream>
+
+using namespace qz;
+using namespace std::chrono_literals;
+
+namespace {
+
+Observation answer(const char *kind, Duration latency, TimePoint at)
+{
+    return Observation{ kind, ObservedResult::Succeeded, latency, at };
+}
+
+/// Digests of seven healthy servers with a light and a heavy kind.
+std::vector<EvidenceDigest> healthyOthers(TimePoint at)
+{
+    std::vector<EvidenceDigest> digests;
+    for (int server = 0; server < 7; ++server) {
+        ServerEvidence evidence;
+        for (int i = 0; i < 20; ++i) {
+            evidence.record(answer("light", 20ms + i * 1ms, at));
+            evidence.record(answer("heavy", 400ms + i * 20ms, at));
+        }
+        digests.push_back(evidence.digest(at));
+    }
+    return digests;
+}
+
+struct Fixture
+{
+    Fixture() { evidence_.setBaseline(ServiceBaseline::fromDigests(others_)); }
+
+    Verdict judge() const
+    {
+        return OutlierDetector().judge(evidence_.digest(clock_.now()), others_);
+    }
+
+    ManualClock clock_;
+    std::vector<EvidenceDigest> others_ = healthyOthers(clock_.now());
+    ServerEvidence evidence_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Evidence, Fixture)
+
+BOOST_AUTO_TEST_CASE(digestIsShortAndSurvivesTheWire)
+{
+    for (int i = 0; i < 5000; ++i) {
+        const std::string kind = "kind" + std::to_string(i % 9);
+        evidence_.record(answer(kind.c_str(), 30ms, clock_.now()));
+        evidence_.recordProbe(Observation{ "", ObservedResult::Failed, 30ms, clock_.now() });
+    }
+    const EvidenceDigest sent = evidence_.digest(clock_.now());
+    std::stringstream wire;
+    msgpack::pack(wire, sent);
+    BOOST_TEST(wire.str().size() < 200U);
+    const auto handle = msgpack::unpack(wire.str().data(), wire.str().size());
+    const auto got = handle.get().as<EvidenceDigest>();
+    BOOST_TEST(got.succeeded_ == sent.succeeded_);
+    BOOST_TEST(got.kinds_[3].kind_ == sent.kinds_[3].kind_);
+    BOOST_TEST(got.probeScore_ == sent.probeScore_);
+}
+
+BOOST_AUTO_TEST_CASE(heavyWorkIsNotTakenForSlowness)
+{
+    for (int i = 0; i < 50; ++i) {
+        clock_.advance(100ms);
+        evidence_.record(answer("heavy", 450ms, clock_.now()));
+    }
+    BOOST_TEST(!judge().isSick());
+}
+
+BOOST_AUTO_TEST_CASE(slowServerLosesWeightThenMayBeEjected)
+{
+    for (int i = 0; i < 3; ++i) {
+        clock_.advance(100ms);
+        evidence_.record(answer("light", 300ms, clock_.now()));
+    }
+    BOOST_TEST(judge().isDoubt());
+    BOOST_TEST(!judge().allowsEjection());
+    for (int i = 0; i < 8; ++i) {
+        clock_.advance(200ms);
+        evidence_.record(answer("light", 300ms, clock_.now()));
+    }
+    BOOST_TEST(judge().allowsEjection());
+    BOOST_TEST(std::holds_alternative<Slow>(judge().state_));
+}
+
+BOOST_AUTO_TEST_CASE(overdueRequestIsEvidenceBeforeItEnds)
+{
+    evidence_.begin("light", clock_.now());
+    BOOST_TEST(!judge().isSick());
+    clock_.advance(500ms);
+    BOOST_TEST(judge().isDoubt());
+}
+
+BOOST_AUTO_TEST_CASE(troubleOfTheWholeServiceIsNotTheServers)
+{
+    for (EvidenceDigest &other : others_) {
+        other.slowScore_ = 20;
+    }
+    for (int i = 0; i < 30; ++i) {
+        clock_.advance(100ms);
+        evidence_.record(answer("light", 300ms, clock_.now()));
+    }
+    BOOST_TEST(!judge().isSick());
+}
+
+BOOST_AUTO_TEST_CASE(probesAloneNeitherEjectNorSave)
+{
+    for (int i = 0; i < 30; ++i) {
+        clock_.advance(100ms);
+        evidence_.recordProbe(Observation{ "", ObservedResult::Failed, 25ms, clock_.now() });
+        evidence_.record(answer("light", 25ms, clock_.now()));
+    }
+    BOOST_TEST(!judge().isSick());
+    for (int i = 0; i < 30; ++i) {
+        clock_.advance(100ms);
+        evidence_.recordProbe(answer("", 25ms, clock_.now()));
+        evidence_.record(Observation{ "light", ObservedResult::Failed, 5ms, clock_.now() });
+    }
+    BOOST_TEST(judge().allowsEjection());
+    BOOST_TEST(std::holds_alternative<Failing>(judge().state_));
+}
+
+BOOST_AUTO_TEST_CASE(refusedConnectsMakeItUnreachable)
+{
+    for (int i = 0; i < 8; ++i) {
+        clock_.advance(200ms);
+        evidence_.record(Observation{ "light", ObservedResult::ConnectFailed, 1ms, clock_.now() });
+    }
+    BOOST_TEST(std::holds_alternative<Unreachable>(judge().state_));
+    BOOST_TEST(judge().allowsEjection());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/qz_health/tests/weightcontrollertest.cpp
@@ -0,0 +1,40 @@
+// Weights over time.
+#include "qz_health/qz_health.h"
+
+#include "qz_core/time/manualclock.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace qz;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_CASE(weightFallsAtOnceAndNeverToZero)
+{
+    ManualClock clock;
+    WeightController weights;
+    weights.update(Verdict{ Healthy{}, 1 }, clock.now());
+    BOOST_TEST(weights.weight() == 1);
+    weights.update(Verdict{ Slow{ 10 }, Verdict::weightConfidence }, clock.now());
+    BOOST_TEST(weights.weight() < 0.1);
+    weights.update(Verdict{ Unreachable{}, 1 }, clock.now());
+    BOOST_TEST(weights.weight() == WeightController::minWeight);
+}
+
+BOOST_AUTO_TEST_CASE(coldServerRampsUp)
+{
+    ManualClock clock;
+    WeightController weights;
+    weights.startCold(clock.now());
+    double last = weights.weight();
+    BOOST_TEST(last == WeightController::coldWeight);
+    for (int i = 0; i < 8; ++i) {
+        clock.advance(1s);
+        weights.update(Verdict{ NoEvidence{}, 0 }, clock.now());
+        BOOST_TEST(weights.weight() > last);
+        BOOST_TEST(weights.weight() < 1);
+        last = weights.weight();
+    }
+    clock.advance(2s);
+    weights.update(Verdict{ Healthy{}, 1 }, clock.now());
+    BOOST_TEST(weights.weight() == 1);
+}
--- /dev/null
+++ b/packages/qz_health/weights/weightcontroller.cpp
@@ -0,0 +1,39 @@
+#include "qz_health/weights/weightcontroller.h"
+
+#include <algorithm>
+
+namespace qz {
+
+namespace {
+
+/// The weight while a verdict stands: under a tenth from the first doubt on.
+double targetOf(const Verdict &verdict)
+{
+    constexpr double doubtWeight = 0.08;
+    if (!verdict.isDoubt()) {
+        return 1;
+    }
+    const double sure = (verdict.confidence_ - Verdict::weightConfidence)
+            / (Verdict::ejectConfidence - Verdict::weightConfidence);
+    return std::max(WeightController::minWeight, doubtWeight * (1 - sure));
+}
+
+} // namespace
+
+void WeightController::startCold(TimePoint now)
+{
+    weight_ = coldWeight;
+    updatedAt_ = now;
+}
+
+void WeightController::update(const Verdict &verdict, TimePoint now)
+{
+    const double elapsed = std::chrono::duration<double>(now - updatedAt_).count();
+    const double ramp = elapsed / std::chrono::duration<double>(rampTime).count();
+    updatedAt_ = now;
+    const double target = targetOf(verdict);
+    weight_ = std::min(target, weight_ + ramp);
+    weight_ = std::clamp(weight_, minWeight, 1.0);
+}
+
+} // namespace qz
