Add the queue of one gate with three policies

AdmissionQueue holds the slots of one backend server and the requests that wait for them; the order is a choice between shared ranks, strict priority and first in, first out. Work that cannot meet its deadline is refused early, and work that no longer can is dropped before it takes a slot.

The policies' own rules have no tests yet, and nothing is measured.

--- /dev/null
+++ b/packages/qz_admission/policies/fifopolicy.h
@@ -0,0 +1,38 @@
+// First in, first out, whatever the rank: a baseline.
+#pragma once
+
+#include "qz_admission/policies/slotload.h"
+#include "qz_admission/queue/ticket.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace qz {
+
+/// Serves tickets in the order of their offers; a full queue refuses.
+/// @see AdmissionPolicy for the members
+class FifoPolicy
+{
+public:
+    std::string_view name() const { return "fifo"; }
+    void configure(int slots, const std::vector<RankShare> &ranks, TimePoint now);
+    void insert(const QueuedTicket &queued, TimePoint now);
+    void erase(const QueuedTicket &queued, TimePoint now);
+    std::optional<std::uint64_t> next(TimePoint now);
+    void start(const QueuedTicket &queued, TimePoint now);
+    void finish(const QueuedTicket &queued, Duration used, TimePoint now);
+    Duration wait(const QueuedTicket &queued, const SlotLoad &load) const;
+    Duration waitOfRank(std::size_t rank, const SlotLoad &load) const;
+    std::optional<std::uint64_t> victim(const QueuedTicket &queued, std::size_t maxQueued) const;
+    nlohmann::json dump() const;
+
+private:
+    std::map<std::uint64_t, std::uint64_t> idsBySequence_;
+    Duration work_{}; ///< Sum of the expected times of all queued tickets.
+};
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_admission/policies/strictprioritypolicy.cpp
@@ -0,0 +1,80 @@
+// Strict order of ranks.
+#include "qz_admission/policies/strictprioritypolicy.h"
+
+namespace qz {
+
+void StrictPriorityPolicy::configure(int /*slots*/, const std::vector<RankShare> & /*ranks*/,
+                                     TimePoint /*now*/)
+{
+}
+
+void StrictPriorityPolicy::insert(const QueuedTicket &queued, TimePoint /*now*/)
+{
+    RankQueue &rank = ranks_[queued.ticket_.rank_];
+    rank.idsBySequence_.emplace(queued.sequence_, queued.ticket_.id_);
+    rank.work_ += queued.expected_;
+}
+
+void StrictPriorityPolicy::erase(const QueuedTicket &queued, TimePoint /*now*/)
+{
+    const auto rank = ranks_.find(queued.ticket_.rank_);
+    rank->second.idsBySequence_.erase(queued.sequence_);
+    rank->second.work_ -= queued.expected_;
+    if (rank->second.idsBySequence_.empty()) {
+        ranks_.erase(rank);
+    }
+}
+
+std::optional<std::uint64_t> StrictPriorityPolicy::next(TimePoint /*now*/)
+{
+    if (ranks_.empty()) {
+        return std::nullopt;
+    }
+    return ranks_.begin()->second.idsBySequence_.begin()->second;
+}
+
+void StrictPriorityPolicy::start(const QueuedTicket &queued, TimePoint now)
+{
+    erase(queued, now);
+}
+
+void StrictPriorityPolicy::finish(const QueuedTicket & /*queued*/, Duration /*used*/,
+                                  TimePoint /*now*/)
+{
+}
+
+Duration StrictPriorityPolicy::wait(const QueuedTicket &queued, const SlotLoad &load) const
+{
+    return waitOfRank(queued.ticket_.rank_, load);
+}
+
+Duration StrictPriorityPolicy::waitOfRank(std::size_t rank, const SlotLoad &load) const
+{
+    Duration ahead{};
+    for (const auto &[order, queue] : ranks_) {
+        if (order <= rank) {
+            ahead += queue.work_;
+        }
+    }
+    return load.waitFor(ahead);
+}
+
+std::optional<std::uint64_t> StrictPriorityPolicy::victim(const QueuedTicket &queued,
+                                                          std::size_t /*maxQueued*/) const
+{
+    if (ranks_.empty() || ranks_.rbegin()->first <= queued.ticket_.rank_) {
+        return std::nullopt;
+    }
+    return ranks_.rbegin()->second.idsBySequence_.rbegin()->second;
+}
+
+nlohmann::json StrictPriorityPolicy::dump() const
+{
+    nlohmann::json queued = nlohmann::json::object();
+    for (const auto &[order, queue] : ranks_) {
+        queued[std::to_string(order)] = queue.idsBySequence_.size();
+    }
+    return { { "policy", name() }, { "queued_by_rank", queued } };
+}
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_admission/policies/strictprioritypolicy.h
@@ -0,0 +1,36 @@
+// Strict order of ranks, first in first out within a rank: a baseline.
+#pragma once
+
+#include "qz_admission/policies/fifopolicy.h"
+
+namespace qz {
+
+/// Serves the most urgent rank that has queued work; a more urgent ticket displaces the
+/// last one of the least urgent rank. Less urgent ranks may starve.
+/// @see AdmissionPolicy for the members
+class StrictPriorityPolicy
+{
+public:
+    std::string_view name() const { return "strict-priority"; }
+    void configure(int slots, const std::vector<RankShare> &ranks, TimePoint now);
+    void insert(const QueuedTicket &queued, TimePoint now);
+    void erase(const QueuedTicket &queued, TimePoint now);
+    std::optional<std::uint64_t> next(TimePoint now);
+    void start(const QueuedTicket &queued, TimePoint now);
+    void finish(const QueuedTicket &queued, Duration used, TimePoint now);
+    Duration wait(const QueuedTicket &queued, const SlotLoad &load) const;
+    Duration waitOfRank(std::size_t rank, const SlotLoad &load) const;
+    std::optional<std::uint64_t> victim(const QueuedTicket &queued, std::size_t maxQueued) const;
+    nlohmann::json dump() const;
+
+private:
+    struct RankQueue
+    {
+        std::map<std::uint64_t, std::uint64_t> idsBySequence_;
+        Duration work_{}; ///< Sum of the expected times of its queued tickets.
+    };
+
+    std::map<std::size_t, RankQueue> ranks_; ///< Only ranks with queued work.
+};
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_admission/queue/admissionqueue.cpp
@@ -0,0 +1,212 @@
+// The queue of one gate.
+#include "qz_admission/queue/admissionqueue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace qz {
+
+AdmissionQueue::Builder &AdmissionQueue::Builder::setSlots(int slots)
+{
+    slots_ = slots;
+    return *this;
+}
+
+AdmissionQueue::Builder &AdmissionQueue::Builder::setRanks(std::vector<RankShare> ranks)
+{
+    ranks_ = std::move(ranks);
+    return *this;
+}
+
+AdmissionQueue::Builder &AdmissionQueue::Builder::setMaxQueued(std::size_t maxQueued)
+{
+    maxQueued_ = maxQueued;
+    return *this;
+}
+
+AdmissionQueue::Builder &AdmissionQueue::Builder::setPolicy(AdmissionPolicy policy)
+{
+    policy_ = std::move(policy);
+    return *this;
+}
+
+AdmissionQueue AdmissionQueue::Builder::build()
+{
+    AdmissionQueue queue;
+    queue.policy_ = std::move(policy_);
+    queue.maxQueued_ = maxQueued_;
+    queue.slots_ = slots_;
+    queue.setRanks(std::move(ranks_));
+    return queue;
+}
+
+Result<void> AdmissionQueue::offer(Ticket ticket, TimePoint now)
+{
+    assert(queued_.count(ticket.id_) == 0 && running_.count(ticket.id_) == 0);
+    latest_ = std::max(latest_, now);
+    dropExpired(now);
+    ticket.rank_ = std::min(ticket.rank_, ranks_.size() - 1);
+    const Duration expected = serviceTimes_.expected(ticket.kind_);
+    QueuedTicket queued{ std::move(ticket), nextSequence_++, expected };
+    if (!canMeetDeadline(queued, now)) {
+        return failure(ErrorKind::DeadlineUnreachable, "the work ahead leaves no time to answer");
+    }
+    if (!makePlace(queued, now)) {
+        return failure(ErrorKind::QueueFull, "the queue is full of work that goes first");
+    }
+    insert(std::move(queued), now);
+    return success();
+}
+
+bool AdmissionQueue::canMeetDeadline(const QueuedTicket &queued, TimePoint now) const
+{
+    const SlotLoad load = slotLoad(now);
+    const Duration wait =
+            std::visit([&](const auto &policy) { return policy.wait(queued, load); }, policy_);
+    return now + wait + serviceTimes_.cautious(queued.ticket_.kind_) <= queued.ticket_.deadline_;
+}
+
+bool AdmissionQueue::makePlace(const QueuedTicket &queued, TimePoint now)
+{
+    if (queued_.size() < maxQueued_) {
+        return true;
+    }
+    const auto victim = std::visit(
+            [&](const auto &policy) { return policy.victim(queued, maxQueued_); }, policy_);
+    if (!victim) {
+        return false;
+    }
+    drop(*victim, ErrorKind::QueueFull, now);
+    return true;
+}
+
+void AdmissionQueue::insert(QueuedTicket queued, TimePoint now)
+{
+    std::visit([&](auto &policy) { policy.insert(queued, now); }, policy_);
+    expiries_.insert(expiryOf(queued));
+    const std::uint64_t id = queued.ticket_.id_;
+    queued_.emplace(id, std::move(queued));
+}
+
+AdmissionQueue::Expiry AdmissionQueue::expiryOf(const QueuedTicket &queued)
+{
+    return { queued.ticket_.deadline_ - queued.expected_, queued.ticket_.id_ };
+}
+
+std::optional<Ticket> AdmissionQueue::startNext(TimePoint now)
+{
+    latest_ = std::max(latest_, now);
+    if (running_.size() >= static_cast<std::size_t>(std::max(0, slots_))) {
+        return std::nullopt;
+    }
+    dropExpired(now);
+    const auto id = std::visit([now](auto &policy) { return policy.next(now); }, policy_);
+    if (!id) {
+        return std::nullopt;
+    }
+    auto node = queued_.extract(*id);
+    assert(!node.empty());
+    QueuedTicket &queued = node.mapped();
+    expiries_.erase(expiryOf(queued));
+    std::visit([&](auto &policy) { policy.start(queued, now); }, policy_);
+    Ticket ticket = queued.ticket_;
+    running_.emplace(*id, Running{ std::move(queued), now });
+    return ticket;
+}
+
+void AdmissionQueue::finish(std::uint64_t id, TimePoint now, bool isMeasured)
+{
+    latest_ = std::max(latest_, now);
+    const auto node = running_.extract(id);
+    if (node.empty()) {
+        return;
+    }
+    const Running &running = node.mapped();
+    const Duration used = now - running.startedAt_;
+    if (isMeasured) {
+        serviceTimes_.record(running.queued_.ticket_.kind_, used);
+    }
+    std::visit([&](auto &policy) { policy.finish(running.queued_, used, now); }, policy_);
+}
+
+bool AdmissionQueue::cancel(std::uint64_t id)
+{
+    const auto node = queued_.extract(id);
+    if (node.empty()) {
+        return false;
+    }
+    expiries_.erase(expiryOf(node.mapped()));
+    std::visit([&](auto &policy) { policy.erase(node.mapped(), latest_); }, policy_);
+    return true;
+}
+
+void AdmissionQueue::drop(std::uint64_t id, ErrorKind kind, TimePoint now)
+{
+    latest_ = std::max(latest_, now);
+    const bool wasQueued = cancel(id);
+    assert(wasQueued);
+    static_cast<void>(wasQueued);
+    dropped_.push_back(Dropped{ id, kind });
+}
+
+void AdmissionQueue::dropExpired(TimePoint now)
+{
+    while (!expiries_.empty() && expiries_.begin()->latestStart_ < now) {
+        drop(expiries_.begin()->id_, ErrorKind::DeadlineExpiredInQueue, now);
+    }
+}
+
+std::vector<Dropped> AdmissionQueue::takeDropped(TimePoint now)
+{
+    latest_ = std::max(latest_, now);
+    dropExpired(now);
+    return std::exchange(dropped_, {});
+}
+
+void AdmissionQueue::setSlots(int slots)
+{
+    slots_ = slots;
+    const int countedSlots = std::max(1, slots_);
+    std::visit([&](auto &policy) { policy.configure(countedSlots, ranks_, latest_); }, policy_);
+}
+
+void AdmissionQueue::setRanks(std::vector<RankShare> ranks)
+{
+    assert(!ranks.empty());
+    ranks_ = std::move(ranks);
+    setSlots(slots_);
+}
+
+SlotLoad AdmissionQueue::slotLoad(TimePoint now) const
+{
+    SlotLoad load;
+    load.slots_ = std::max(1, slots_);
+    load.hasFreeSlot_ = running_.size() < static_cast<std::size_t>(load.slots_);
+    if (load.hasFreeSlot_) {
+        return load;
+    }
+    for (const auto &[id, running] : running_) {
+        const TimePoint end = running.startedAt_ + running.queued_.expected_;
+        load.remaining_ += std::max(Duration{}, end - now);
+    }
+    return load;
+}
+
+Duration AdmissionQueue::estimatedWait(std::size_t rank, TimePoint now) const
+{
+    const std::size_t known = std::min(rank, ranks_.size() - 1);
+    const SlotLoad load = slotLoad(now);
+    return std::visit([&](const auto &policy) { return policy.waitOfRank(known, load); }, policy_);
+}
+
+nlohmann::json AdmissionQueue::dumpState() const
+{
+    return { { "slots", slots_ },
+             { "max_queued", maxQueued_ },
+             { "queued", queued() },
+             { "running", running() },
+             { "policy", std::visit([](const auto &policy) { return policy.dump(); }, policy_) } };
+}
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_admission/qz_admission.h
@@ -0,0 +1,13 @@
+// Package:      qz_admission
+// Purpose:      the queue of one gate: which request runs next on the backend server's slots,
+//               which waits, and which is refused early.
+// Dependencies: qz_core, nlohmann-json
+#pragma once
+
+#include "qz_admission/estimates/servicetimes.h"
+#include "qz_admission/policies/admissionpolicy.h"
+#include "qz_admission/policies/fifopolicy.h"
+#include "qz_admission/policies/sharedrankspolicy.h"
+#include "qz_admission/policies/strictprioritypolicy.h"
+#include "qz_admission/queue/admissionqueue.h"
+#include "qz_admission/queue/ticket.h"
