--- /dev/null
+++ b/packages/qz_entries/choice/serverchooser.h
@@ -0,0 +1,43 @@
+// The choice of the backend server, and with it of the gate, that a request goes to.
+#pragma once
+
+#include "qz_entries/choice/localfirstchoice.h"
+#include "qz_entries/choice/poweroftwochoice.h"
+#include "qz_entries/choice/randomchoice.h"
+
+#include <optional>
+#include <random>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace qz {
+
+using ChoicePolicy = std::variant<LocalFirstChoice, PowerOfTwoChoice, RandomChoice>;
+
+/// Chooses among the servers that the rules allow for a request. Keeps nothing between calls:
+/// for a second try, leave out the candidates that were tried before.
+/// Costs one pass over the candidates.
+/// @see ServerCandidate, RetryBudget
+class ServerChooser
+{
+public:
+    explicit ServerChooser(ChoicePolicy policy = LocalFirstChoice())
+        : policy_(policy)
+    {
+    }
+
+    /// "local-first", "power-of-two" or "random".
+    std::string_view policyName() const;
+
+    /// The index of the chosen candidate; nothing if none has a weight above 0. The same
+    /// arguments and state of @p generator give the same choice.
+    std::optional<std::size_t> choose(const std::vector<ServerCandidate> &candidates,
+                                      const ServerRequest &request,
+                                      std::mt19937_64 &generator) const;
+
+private:
+    ChoicePolicy policy_;
+};
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_entries/choice/weighteddraw.h
@@ -0,0 +1,26 @@
+// Random draws in proportion to weight.
+#pragma once
+
+#include "qz_entries/choice/servercandidate.h"
+
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace qz {
+
+using CandidateIndexes = std::vector<std::size_t>;
+
+/// The indexes of all candidates with a weight above 0.
+CandidateIndexes usableCandidates(const std::vector<ServerCandidate> &candidates);
+
+/// Draws one of @p among in proportion to weight and takes it out; nothing if it is empty.
+std::optional<std::size_t> drawByWeight(const std::vector<ServerCandidate> &candidates,
+                                        CandidateIndexes &among, std::mt19937_64 &generator);
+
+/// Draws two of @p among by weight; the one with the earlier expected answer.
+std::optional<std::size_t> betterOfTwo(const std::vector<ServerCandidate> &candidates,
+                                       const ServerRequest &request, CandidateIndexes among,
+                                       std::mt19937_64 &generator);
+
+} // namespace qz
