Add gates, the callers' side and the test bed

Cause: the path from a caller to a backend server needs its two middle parts. Before: libraries only. After: gates with queue, slots and evidence; an entry that classifies, claims, chooses, retries and tells the outcome; stand-ins for platform, backend servers and callers.

--- /dev/null
+++ b/packages/qz_gates/directory/backenddirectory.cpp
@@ -0,0 +1,68 @@
+// The directory of backend servers.
+#include "qz_gates/directory/backenddirectory.h"
+
+#include <cassert>
+#include <utility>
+
+namespace qz {
+
+bool BackendServer::isLeaving() const
+{
+    const auto drain = labels_.find(label::drain);
+    const bool isDrained = drain != labels_.end() && drain->second == "true";
+    return isDrained || listed_.state_ == ListedState::Leaving;
+}
+
+void BackendDirectory::setRules(std::shared_ptr<const RuleSet> rules)
+{
+    rules_ = std::move(rules);
+    rebuild();
+}
+
+void BackendDirectory::setListing(std::vector<ListedBackendServer> listing)
+{
+    listing_ = std::move(listing);
+    rebuild();
+}
+
+const BackendDirectory::Servers &BackendDirectory::serversFor(const WorkKind &kind) const
+{
+    const auto found = byKind_.find(kind.name_);
+    assert(found != byKind_.end());
+    return found->second;
+}
+
+BackendDirectory::ServerPtr BackendDirectory::find(const BackendServerId &id) const
+{
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? nullptr : found->second;
+}
+
+void BackendDirectory::rebuild()
+{
+    servers_.clear();
+    byKind_.clear();
+    if (rules_ == nullptr) {
+        return;
+    }
+    for (const ListedBackendServer &listed : listing_) {
+        auto server = std::make_shared<BackendServer>();
+        server->listed_ = listed;
+        server->labels_ = rules_->labelsOf(listed.id_, listed.labels_);
+        const auto service = server->labels_.find(label::service);
+        if (service != server->labels_.end()) {
+            server->service_ = ServiceId(service->second);
+        }
+        servers_[listed.id_] = std::move(server);
+    }
+    for (const WorkKind &kind : rules_->kinds()) {
+        Servers &servers = byKind_[kind.name_];
+        for (const auto &[id, server] : servers_) {
+            if (kind.servers_.matches(server->labels_)) {
+                servers.push_back(server);
+            }
+        }
+    }
+}
+
+} // namespace qz
--- a/packages/qz_http/qz_http.h
+++ b/packages/qz_http/qz_http.h
@@ -7,5 +7,6 @@
 #include "qz_http/client/httpclientpool.h"
 #include "qz_http/client/httpconnection.h"
 #include "qz_http/messages/httpmessages.h"
+#include "qz_http/messages/querystring.h"
 #include "qz_http/server/httpexchange.h"
 #include "qz_http/server/httpserver.h"
--- a/packages/qz_http/server/httpexchange.cpp
+++ b/packages/qz_http/server/httpexchange.cpp
@@ -98,6 +98,13 @@
     }
 }
 
+void HttpExchange::abort()
+{
+    if (isOpen()) {
+        evhtp_connection_free(evhtp_request_get_connection(evhtp_)); // Runs loseCaller().
+    }
+}
+
 void HttpExchange::startPeeking()
 {
     evhtp_connection_t *connection = evhtp_request_get_connection(evhtp_);
--- a/packages/qz_http/server/httpexchange.h
+++ b/packages/qz_http/server/httpexchange.h
@@ -40,6 +40,9 @@
     /// Sends the answer, once. Does nothing if the caller has gone.
     void reply(const HttpResponse &response);
 
+    /// Closes the connection without an answer.
+    void abort();
+
     /// Runs @p handler once if the caller's connection ends before the answer.
     void setCallerGoneHandler(std::function<void()> handler) { callerGone_ = std::move(handler); }
 
--- /dev/null
+++ b/packages/qz_proxy/entry/entryservice.cpp
@@ -0,0 +1,56 @@
+// Serves callers.
+#include "qz_proxy/entry/entryservice.h"
+
+#include "qz_http/messages/querystring.h"
+
+#include <string_view>
+
+namespace qz {
+
+namespace {
+
+constexpr std::string_view addressesPath = "/quetzaldale/addresses";
+
+} // namespace
+
+EntryService::EntryService(const EntryParts &parts)
+    : parts_(parts)
+    , directory_(EntryDirectory::Limits{})
+{
+}
+
+void EntryService::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const std::string_view target = exchange->request().target_;
+    if (target.substr(0, target.find('?')) == addressesPath) {
+        answerAddresses(*exchange);
+        return;
+    }
+    RequestRun::start(parts_, exchange);
+}
+
+std::string EntryService::addressesFor(const AddressQuery &query) const
+{
+    std::vector<EntryMember> entries;
+    for (const Member &member : parts_.view_.members()) {
+        const bool isLeaving = member.state_ == MemberState::Leaving
+                || (member.id_ == parts_.view_.self().id_ && parts_.view_.isLeaving());
+        entries.push_back({ member.id_, member.location_, member.callerEndpoint_, isLeaving });
+    }
+    return directory_.addressesFor(query, entries).toJson().dump() + "\n";
+}
+
+void EntryService::answerAddresses(HttpExchange &exchange) const
+{
+    const QueryString parameters(exchange.request().target_);
+    AddressQuery query;
+    query.caller_ = parameters.value("caller");
+    query.failureDomain_ = FailureDomainId(parameters.value("failure_domain"));
+    query.region_ = RegionId(parameters.value("region"));
+    HttpResponse response;
+    response.headers_.add("Content-Type", "application/json");
+    response.body_ = addressesFor(query);
+    exchange.reply(response);
+}
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_proxy/view/workingview.cpp
@@ -0,0 +1,35 @@
+// What this instance works by at the moment.
+#include "qz_proxy/view/workingview.h"
+
+#include <utility>
+
+namespace qz {
+
+WorkingView::WorkingView(Member self)
+    : self_(std::move(self))
+{
+    setMembers({ self_ });
+}
+
+void WorkingView::adoptRules(RulesVersion version, std::shared_ptr<const RuleSet> rules)
+{
+    if (version <= version_) {
+        return;
+    }
+    version_ = version;
+    rules_ = std::move(rules);
+    directory_.setRules(rules_);
+}
+
+void WorkingView::setMembers(std::vector<Member> members)
+{
+    members_ = std::move(members);
+    gateMap_.setMembers(members_);
+}
+
+void WorkingView::setListing(std::vector<ListedBackendServer> servers)
+{
+    directory_.setListing(std::move(servers));
+}
+
+} // namespace qz
--- /dev/null
+++ b/tests/testbed/quetzaltestbed.cpp
@@ -0,0 +1,116 @@
+// Runs a fleet of separate daemons between stand-ins: the demonstration of tools/demo.
+#include "testbed/testbed.h"
+
+#include <docopt/docopt.h>
+
+#include <algorithm>
+#include <iostream>
+
+namespace {
+
+using namespace std::chrono_literals;
+using qz::testing::RankTally;
+using qz::testing::Testbed;
+using qz::testing::Violations;
+
+constexpr const char *usage = R"(quetzaltestbed: a fleet of daemons between stand-ins
+
+Usage:
+  quetzaltestbed demo --daemon=PATH [--instances=N] [--seconds=S] [--rate=R]
+                      [--deployment=NAME] [--seed=N] [--logs=DIR] [--check]
+
+Options:
+  --daemon=PATH      the program quetzaldaled
+  --instances=N      how many daemons [default: 8]
+  --seconds=S        for how long load is offered [default: 10]
+  --rate=R           requests a second, all callers together [default: 400]
+  --deployment=NAME  nakhla or red-andina [default: nakhla]
+  --seed=N           of all random choices [default: 1]
+  --logs=DIR         where the daemons' logs go [default: build/demo-logs]
+  --check            end with 0 only if each request got its own whole answer
+)";
+
+double toMilliseconds(qz::Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+double percentile(std::vector<qz::Duration> values, double share)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    const auto index = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(index),
+                     values.end());
+    return toMilliseconds(values[index]);
+}
+
+void printTallies(const std::map<std::string, RankTally> &tallies)
+{
+    for (const auto &[rank, tally] : tallies) {
+        std::cout << "  " << rank << ": sent " << tally.sent_ << ", answered " << tally.answered_
+                  << ", in target " << tally.inTarget_ << ", not run " << tally.notRun_
+                  << ", unknown " << tally.unknown_ << ", p50 " << percentile(tally.latencies_, 0.5)
+                  << " ms, p99 " << percentile(tally.latencies_, 0.99) << " ms\n";
+        for (const auto &[cause, count] : tally.causes_) {
+            std::cout << "    " << cause << ": " << count << "\n";
+        }
+    }
+}
+
+bool isComplete(const std::map<std::string, RankTally> &tallies)
+{
+    return !tallies.empty() && std::all_of(tallies.begin(), tallies.end(), [](const auto &entry) {
+        return entry.second.sent_ > 0 && entry.second.answered_ == entry.second.sent_;
+    });
+}
+
+int runDemo(std::map<std::string, docopt::value> &options)
+{
+    Testbed::Plan plan;
+    plan.daemon_ = options["--daemon"].asString();
+    plan.instances_ = static_cast<int>(options["--instances"].asLong());
+    plan.logDirectory_ = options["--logs"].asString();
+    plan.seed_ = static_cast<std::uint64_t>(options["--seed"].asLong());
+    plan.deployment_ = options["--deployment"].asString() == "red-andina"
+            ? qz::testing::makeRedAndina()
+            : qz::testing::makeNakhla();
+    Testbed testbed(plan);
+    std::cout << "starting " << plan.instances_ << " daemons for " << plan.deployment_.name_
+              << "\n";
+    if (!testbed.start(30s)) {
+        std::cout << "the rules did not come into force; see " << plan.logDirectory_ << "\n";
+        return 1;
+    }
+    std::cout << "rules in force on all instances; sending load\n";
+    testbed.startCallers(std::stod(options["--rate"].asString()));
+    const long seconds = options["--seconds"].asLong();
+    for (long second = 1; second <= seconds; ++second) {
+        testbed.loop().runFor(1s);
+        int answered = 0;
+        for (const auto &[rank, tally] : testbed.tallies()) {
+            answered += tally.answered_;
+        }
+        std::cout << "  " << second << " of " << seconds << " s: " << answered << " answered"
+                  << std::endl;
+    }
+    testbed.stopCallers();
+    const bool isSettled = testbed.settle(20s);
+    const Violations violations = testbed.findViolations();
+    const auto tallies = testbed.tallies();
+    printTallies(tallies);
+    std::cout << "violations: " << violations.total() << " " << violations.example_ << "\n";
+    const bool isGood = isSettled && violations.total() == 0 && isComplete(tallies);
+    std::cout << (isGood ? "each request got its own whole answer\n"
+                         : "not each request got its own whole answer\n");
+    return isGood || !options["--check"].asBool() ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    auto options = docopt::docopt(usage, { argv + 1, argv + argc }, true);
+    return runDemo(options);
+}
