--- a/packages/qz_rules/store/publishattempt.cpp
+++ b/packages/qz_rules/store/publishattempt.cpp
@@ -68,23 +68,25 @@
         return;
     }
     const RulesHead &head = base.value();
-    if (head.stamp_.version_ != publication_.expected_) {
+    revision_.head_ = RulesHead{ RulesStamp{ publication_.expected_ + 1, 0 },
+                                 revision_.document_->hash(),
+                                 publication_.author_,
+                                 publication_.attemptToken_,
+                                 publication_.voters_,
+                                 head.voters_ };
+    if (head.stamp_.version_ > publication_.expected_) {
+        readHistory(head.stamp_.version_); // This attempt may have been made before.
+        return;
+    }
+    if (head.stamp_.version_ < publication_.expected_) {
         failConflict(head.stamp_.version_);
         return;
     }
     if (head.stamp_ != publication_.base_) {
-        fail(ErrorKind::StoreUnavailable,
-             "not published: the head has just been renewed (" + toString(head.stamp_)
-                     + "); try again");
+        failRenewed(head.stamp_);
         return;
     }
     headRow_ = row ? row->version_ : 0;
-    revision_.head_ = RulesHead{ RulesStamp{ publication_.expected_ + 1, 0 },
-                                 revision_.document_->hash(),
-                                 publication_.author_,
-                                 publication_.attemptToken_,
-                                 publication_.voters_,
-                                 head.voters_ };
     putObjects();
 }
 
@@ -190,12 +192,11 @@
         return;
     }
     const RulesStamp current = head.value().stamp_;
-    if (head.value().attemptToken_ == publication_.attemptToken_) {
+    if (isOwn(head.value())) {
+        revision_.head_ = head.value();
         succeed();
     } else if (current.version_ < revision_.head_.stamp_.version_) {
-        fail(ErrorKind::StoreUnavailable,
-             "not published: the head has just been renewed (" + toString(current)
-                     + "); try again");
+        failRenewed(current);
     } else {
         readHistory(current.version_);
     }
@@ -214,7 +215,8 @@
                 : Result<RulesHead>(failure(ErrorKind::NotFound, "no history row"));
         if (!head) {
             self->takeUndecided(head.error(), &PublishAttempt::readBack);
-        } else if (head.value().attemptToken_ == self->publication_.attemptToken_) {
+        } else if (self->isOwn(head.value())) {
+            self->revision_.head_ = head.value();
             self->succeed();
         } else {
             self->failConflict(current);
@@ -264,6 +266,18 @@
                  + " is not the newest; look at version " + std::to_string(current));
 }
 
+void PublishAttempt::failRenewed(const RulesStamp &current)
+{
+    fail(ErrorKind::StoreUnavailable,
+         "not published: the head has just been renewed (" + toString(current) + "); try again");
+}
+
+bool PublishAttempt::isOwn(const RulesHead &head) const
+{
+    return head.attemptToken_ == publication_.attemptToken_
+            && head.hash_ == revision_.document_->hash();
+}
+
 void PublishAttempt::succeed()
 {
     if (const auto done = std::exchange(done_, nullptr)) {
--- a/packages/qz_rules/store/publishattempt.h
+++ b/packages/qz_rules/store/publishattempt.h
@@ -52,6 +52,8 @@
     void retry(void (PublishAttempt::*next)());
     void fail(ErrorKind kind, std::string message);
     void failConflict(RulesVersion current);
+    void failRenewed(const RulesStamp &current);
+    bool isOwn(const RulesHead &head) const;
     void succeed();
 
     PublishStores stores_;
--- a/packages/qz_rules/store/rulesdocument.h
+++ b/packages/qz_rules/store/rulesdocument.h
@@ -77,6 +77,9 @@
 
     const ObjectHash &hash() const { return document_->hash_; }
 
+    /// The objects taken so far.
+    const RulesObjects &objects() const { return document_->objects_; }
+
     /// The objects that are still needed; empty when the document is whole.
     const std::set<ObjectHash> &missing() const { return missing_; }
 
--- a/packages/qz_rules/tests/rulesstoretest.cpp
+++ b/packages/qz_rules/tests/rulesstoretest.cpp
@@ -257,6 +257,21 @@
     BOOST_TEST(platform.head().stamp_.version_ == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(anAttemptThatIsMadeAgainIsRecognisedAlsoWhenTheHeadHasMovedOn)
+{
+    Platform platform;
+    for (const qz::RulesVersion later : { 0, 1 }) {
+        Outcome outcome;
+        platform.publish(later, "t" + std::to_string(later), outcome);
+        platform.finish(outcome);
+        Outcome again;
+        platform.publish(0, "t0", again);
+        platform.finish(again);
+        BOOST_REQUIRE(again->has_value());
+        BOOST_TEST(again->value().head_.stamp_.version_ == 1U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aRenewalKeepsTheVersionAndFencesAnAttemptOnTheOldHead)
 {
     Platform platform;
