Add membership by heartbeats on monitoring rings

Cause: duties fall to live members, so each instance has to know them at a cost that does not grow with the fleet. Ruled out: full mesh of heartbeats (cost grows with the fleet), random probes as in SWIM (they open a TCP link to everybody in turn). Seen: all tests of 2, 32 and 200 members under a manual clock pass; the test of the cost at 1,000 members takes minutes and is not settled yet.

--- a/packages/qz_fleet/links/peerlinks.h
+++ b/packages/qz_fleet/links/peerlinks.h
@@ -3,6 +3,7 @@
 
 #include "qz_core/loop/eventloop.h"
 #include "qz_fleet/links/outbox.h"
+#include "qz_fleet/links/peer.h"
 #include "qz_fleet/links/peerlink.h"
 
 #include <nlohmann/json.hpp>
@@ -20,13 +21,6 @@
 
 namespace qz {
 
-/// Another instance and where it listens for links.
-struct Peer
-{
-    InstanceId id_;
-    Endpoint endpoint_;
-};
-
 /// Sends typed messages to other instances and hands out those received. A link is opened
 /// on demand by either side, proves the fleet key in both directions and is then used by
 /// both. Order is kept on a link, not across the loss of one.
--- /dev/null
+++ b/packages/qz_fleet/membership/gossipmessage.cpp
@@ -0,0 +1,18 @@
+// Checks of received heartbeats.
+#include "qz_fleet/membership/gossipmessage.h"
+
+#include <algorithm>
+
+namespace qz {
+
+bool isPlausible(const GossipMessage &message)
+{
+    constexpr std::size_t maxIdBytes = 256;
+    const auto isGood = [](const MemberUpdate &update) { return isPlausible(update); };
+    return message.kind_ < gossipKindCount && message.subject_.value().size() <= maxIdBytes
+            && message.updates_.size() <= maxGossipUpdates && isPlausible(message.sender_)
+            && message.sender_.isHeard()
+            && std::all_of(message.updates_.begin(), message.updates_.end(), isGood);
+}
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_fleet/membership/membertable.cpp
@@ -0,0 +1,345 @@
+// Merging of the list, the members' own word and verdicts.
+#include "qz_fleet/membership/membertable.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cassert>
+#include <tuple>
+#include <utility>
+
+namespace qz {
+
+namespace {
+
+constexpr std::size_t maxMembers = 8192;
+
+std::uint64_t hashOf(const MemberUpdate &update)
+{
+    std::string text = update.id_.value();
+    text += '\n' + update.incarnation_;
+    text += '\n' + std::to_string(update.version_);
+    text += '\n' + std::to_string(update.verdict_);
+    text += update.isLeaving_ ? "\nleaving" : "\nlive";
+    return XXH3_64bits(text.data(), text.size());
+}
+
+bool isSame(const Member &a, const Member &b)
+{
+    const auto tie = [](const Member &member) {
+        return std::tie(member.incarnation_, member.state_, member.peerEndpoint_,
+                        member.callerEndpoint_, member.location_.region_,
+                        member.location_.failureDomain_);
+    };
+    return tie(a) == tie(b);
+}
+
+} // namespace
+
+std::string_view toString(MemberState state)
+{
+    return state == MemberState::Live ? "live" : "leaving";
+}
+
+std::string_view toString(MemberChangeKind kind)
+{
+    switch (kind) {
+    case MemberChangeKind::Joined:
+        return "joined";
+    case MemberChangeKind::Restarted:
+        return "restarted";
+    case MemberChangeKind::Updated:
+        return "updated";
+    case MemberChangeKind::Gone:
+        break;
+    }
+    return "gone";
+}
+
+MemberTable::MemberTable(MemberUpdate self)
+    : self_(std::move(self))
+    , turn_(self_.id_) // Neighbours then tell each other of different members.
+{
+    assert(isPlausible(self_) && self_.isHeard());
+    touch(self_.id_);
+}
+
+void MemberTable::leave()
+{
+    self_.isLeaving_ = true;
+    touch(self_.id_);
+}
+
+void MemberTable::end()
+{
+    self_.isLeaving_ = true;
+    self_.setVerdict(Verdict::Dead);
+    self_.accusers_ = { self_.id_ };
+    touch(self_.id_);
+}
+
+MergeResult MemberTable::merge(const MemberUpdate &news, TimePoint now)
+{
+    if (news.id_ == self_.id_) {
+        return mergeSelf(news);
+    }
+    const auto entry = records_.find(news.id_);
+    if (entry == records_.end()) {
+        return mergeUnknown(news);
+    }
+    Record &record = entry->second;
+    const bool wasHeard = record.update_.isHeard();
+    const bool wasDead = record.update_.isDead();
+    if (!mergeUpdate(record.update_, news)) {
+        return MergeResult::Known;
+    }
+    if (record.update_.isDead() && !wasDead) {
+        record.deadSince_ = now;
+    }
+    touch(news.id_);
+    const bool isFirstWord = !wasHeard && !wasDead && !record.update_.isLeaving_
+            && record.update_.verdict() == Verdict::Alive;
+    return isFirstWord ? MergeResult::Background : MergeResult::News;
+}
+
+std::vector<InstanceId> MemberTable::applyListing(const InstanceListing &listing)
+{
+    std::set<InstanceId> listedNow;
+    for (const ListedInstance &listed : listing.instances_) {
+        listedNow.insert(listed.id_);
+        applyListed(listed);
+    }
+    std::vector<InstanceId> dropped;
+    for (auto &[id, record] : records_) {
+        if (record.isListed_ && listedNow.count(id) == 0) {
+            record.isListed_ = false;
+            record.isListedLeaving_ = false;
+            dropped.push_back(id);
+            touch(id);
+        }
+    }
+    return dropped;
+}
+
+bool MemberTable::accuse(const InstanceId &member, const InstanceId &accuser)
+{
+    const auto entry = records_.find(member);
+    if (entry == records_.end() || entry->second.update_.isDead()) {
+        return false;
+    }
+    MemberUpdate &update = entry->second.update_;
+    const bool wasAlive = update.verdict() == Verdict::Alive;
+    if (wasAlive) {
+        update.setVerdict(Verdict::Suspect);
+        update.accusers_.clear();
+    }
+    const bool isNew = addAccuser(update, accuser);
+    if (isNew) {
+        touch(member);
+    }
+    return isNew;
+}
+
+bool MemberTable::declareDead(const InstanceId &member, TimePoint now)
+{
+    const auto entry = records_.find(member);
+    if (entry == records_.end() || entry->second.update_.isDead()) {
+        return false;
+    }
+    entry->second.update_.setVerdict(Verdict::Dead);
+    entry->second.deadSince_ = now;
+    touch(member);
+    return true;
+}
+
+void MemberTable::expire(TimePoint now, Duration retention)
+{
+    for (auto entry = records_.begin(); entry != records_.end();) {
+        const Record &record = entry->second;
+        const bool isOld = record.update_.isDead() && now - record.deadSince_ >= retention;
+        const bool isForgotten =
+                !record.isListed_ && !record.reported_ && (isOld || !record.update_.isHeard());
+        entry = isForgotten ? records_.erase(entry) : std::next(entry);
+    }
+}
+
+const MemberUpdate *MemberTable::find(const InstanceId &member) const
+{
+    const auto entry = records_.find(member);
+    return entry == records_.end() ? nullptr : &entry->second.update_;
+}
+
+std::vector<MemberUpdate> MemberTable::nextInTurn(std::size_t count)
+{
+    std::vector<MemberUpdate> updates;
+    auto entry = records_.upper_bound(turn_);
+    for (std::size_t seen = 0; seen < records_.size() && updates.size() < count; ++seen) {
+        if (entry == records_.end()) {
+            entry = records_.begin();
+        }
+        turn_ = entry->first;
+        if (entry->second.update_.isHeard()) {
+            updates.push_back(entry->second.update_);
+        }
+        ++entry;
+    }
+    return updates;
+}
+
+std::vector<InstanceId> MemberTable::deadMembers() const
+{
+    std::vector<InstanceId> dead;
+    for (const auto &[id, record] : records_) {
+        if (record.update_.isDead()) {
+            dead.push_back(id);
+        }
+    }
+    return dead;
+}
+
+std::vector<Peer> MemberTable::peers() const
+{
+    std::vector<Peer> peers;
+    peers.reserve(records_.size());
+    for (const auto &[id, record] : records_) {
+        peers.push_back(Peer{ id, record.update_.peerEndpoint_ });
+    }
+    return peers;
+}
+
+std::uint64_t MemberTable::digest() const
+{
+    if (!digest_) {
+        std::uint64_t digest = self_.isDead() ? 0 : hashOf(self_);
+        for (const auto &[id, record] : records_) {
+            if (record.update_.isHeard() && !record.update_.isDead()) {
+                digest ^= hashOf(record.update_);
+            }
+        }
+        digest_ = digest;
+    }
+    return *digest_;
+}
+
+std::vector<MemberChange> MemberTable::takeChanges()
+{
+    std::vector<MemberChange> changes;
+    for (const InstanceId &id : std::exchange(touched_, {})) {
+        const auto entry = records_.find(id);
+        if (id != self_.id_ && entry == records_.end()) {
+            continue;
+        }
+        auto &reported = id == self_.id_ ? reportedSelf_ : entry->second.reported_;
+        if (auto change = changeOf(id, reported)) {
+            changes.push_back(std::move(*change));
+        }
+    }
+    return changes;
+}
+
+MergeResult MemberTable::mergeSelf(const MemberUpdate &news)
+{
+    if (self_.isDead()) {
+        return MergeResult::Known;
+    }
+    const bool isAccused = isSameVersion(news, self_) && news.verdict() != Verdict::Alive;
+    if (!isAccused && !isNewer(news, self_)) {
+        return MergeResult::Known;
+    }
+    self_.version_ = news.version_ + 1;
+    touch(self_.id_);
+    return MergeResult::News;
+}
+
+MergeResult MemberTable::mergeUnknown(const MemberUpdate &news)
+{
+    if (news.isDead() || !news.isHeard() || records_.size() >= maxMembers) {
+        return MergeResult::Known;
+    }
+    records_[news.id_].update_ = news;
+    touch(news.id_);
+    return MergeResult::News;
+}
+
+void MemberTable::applyListed(const ListedInstance &listed)
+{
+    const bool isLeaving = listed.state_ == ListedState::Leaving;
+    if (listed.id_ == self_.id_) {
+        isListedLeaving_ = isLeaving;
+        return;
+    }
+    if (records_.size() >= maxMembers && records_.count(listed.id_) == 0) {
+        return;
+    }
+    Record &record = records_[listed.id_];
+    record.isListed_ = true;
+    record.isListedLeaving_ = isLeaving;
+    touch(listed.id_);
+    if (record.update_.isHeard()) {
+        return;
+    }
+    record.update_.id_ = listed.id_;
+    record.update_.peerEndpoint_ = listed.peerEndpoint_;
+    record.update_.callerEndpoint_ = listed.callerEndpoint_;
+    record.update_.location_ = listed.location_;
+}
+
+void MemberTable::touch(const InstanceId &member)
+{
+    touched_.insert(member);
+    digest_.reset();
+}
+
+std::optional<Member> MemberTable::effective(const InstanceId &member) const
+{
+    if (member == self_.id_) {
+        return self_.isDead() ? std::nullopt
+                              : std::optional<Member>(toMember(self_, isListedLeaving_));
+    }
+    const auto entry = records_.find(member);
+    if (entry == records_.end()) {
+        return std::nullopt;
+    }
+    const Record &record = entry->second;
+    const bool isSpokenFor = record.isListed_ || record.update_.isHeard();
+    if (!isSpokenFor || record.update_.isDead()) {
+        return std::nullopt;
+    }
+    return toMember(record.update_, record.isListedLeaving_);
+}
+
+std::optional<MemberChange> MemberTable::changeOf(const InstanceId &member,
+                                                  std::optional<Member> &reported)
+{
+    const std::optional<Member> before = std::exchange(reported, effective(member));
+    if (!before && !reported) {
+        return std::nullopt;
+    }
+    if (!reported) {
+        return MemberChange{ MemberChangeKind::Gone, *before };
+    }
+    if (!before) {
+        return MemberChange{ MemberChangeKind::Joined, *reported };
+    }
+    if (!before->incarnation_.empty() && before->incarnation_ != reported->incarnation_) {
+        return MemberChange{ MemberChangeKind::Restarted, *reported };
+    }
+    if (!isSame(*before, *reported)) {
+        return MemberChange{ MemberChangeKind::Updated, *reported };
+    }
+    return std::nullopt;
+}
+
+Member MemberTable::toMember(const MemberUpdate &update, bool isListedLeaving)
+{
+    Member member;
+    member.id_ = update.id_;
+    member.incarnation_ = update.incarnation_;
+    member.state_ = update.isLeaving_ || isListedLeaving ? MemberState::Leaving : MemberState::Live;
+    member.peerEndpoint_ = update.peerEndpoint_;
+    member.callerEndpoint_ = update.callerEndpoint_;
+    member.location_ = update.location_;
+    return member;
+}
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_fleet/membership/memberupdate.cpp
@@ -0,0 +1,110 @@
+// The order of member updates.
+#include "qz_fleet/membership/memberupdate.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace qz {
+
+namespace {
+
+constexpr std::size_t maxIdBytes = 256;
+
+bool isBounded(const Endpoint &endpoint)
+{
+    return endpoint.host_.size() <= maxIdBytes;
+}
+
+bool isBounded(const Location &location)
+{
+    return location.region_.value().size() <= maxIdBytes
+            && location.failureDomain_.value().size() <= maxIdBytes;
+}
+
+/// Both speak of the same version of the same process.
+bool mergeSameVersion(MemberUpdate &known, const MemberUpdate &news)
+{
+    bool hasChanged = false;
+    if (news.isLeaving_ && !known.isLeaving_) {
+        known.isLeaving_ = true;
+        hasChanged = true;
+    }
+    if (news.verdict_ > known.verdict_) {
+        known.verdict_ = news.verdict_;
+        known.accusers_ = news.accusers_;
+        return true;
+    }
+    if (news.verdict_ == known.verdict_) {
+        for (const InstanceId &accuser : news.accusers_) {
+            hasChanged = addAccuser(known, accuser) || hasChanged;
+        }
+    }
+    return hasChanged;
+}
+
+} // namespace
+
+std::string_view toString(Verdict verdict)
+{
+    switch (verdict) {
+    case Verdict::Alive:
+        return "alive";
+    case Verdict::Suspect:
+        return "suspect";
+    case Verdict::Dead:
+        break;
+    }
+    return "dead";
+}
+
+bool MemberUpdate::hasEndedItself() const
+{
+    return isDead() && accusers_.size() == 1 && accusers_.front() == id_;
+}
+
+bool isPlausible(const MemberUpdate &update)
+{
+    const auto isLong = [](const InstanceId &id) { return id.value().size() > maxIdBytes; };
+    return !update.id_.isEmpty() && !isLong(update.id_) && update.incarnation_.size() <= maxIdBytes
+            && update.verdict_ <= static_cast<std::uint8_t>(Verdict::Dead)
+            && isBounded(update.peerEndpoint_) && isBounded(update.callerEndpoint_)
+            && isBounded(update.location_) && update.accusers_.size() <= maxAccusers
+            && std::none_of(update.accusers_.begin(), update.accusers_.end(), isLong);
+}
+
+bool isNewer(const MemberUpdate &a, const MemberUpdate &b)
+{
+    return std::tie(a.version_, a.incarnation_) > std::tie(b.version_, b.incarnation_);
+}
+
+bool isSameVersion(const MemberUpdate &a, const MemberUpdate &b)
+{
+    return std::tie(a.version_, a.incarnation_) == std::tie(b.version_, b.incarnation_);
+}
+
+bool mergeUpdate(MemberUpdate &known, const MemberUpdate &news)
+{
+    if (isSameVersion(known, news)) {
+        return mergeSameVersion(known, news);
+    }
+    if (!isNewer(news, known)) {
+        return false;
+    }
+    const bool wasLeaving = known.isLeaving_ && known.incarnation_ == news.incarnation_;
+    known = news;
+    known.isLeaving_ = known.isLeaving_ || wasLeaving;
+    return true;
+}
+
+bool addAccuser(MemberUpdate &update, const InstanceId &accuser)
+{
+    const auto &accusers = update.accusers_;
+    const bool isKnown = std::find(accusers.begin(), accusers.end(), accuser) != accusers.end();
+    if (isKnown || accusers.size() >= maxAccusers) {
+        return false;
+    }
+    update.accusers_.push_back(accuser);
+    return true;
+}
+
+} // namespace qz
--- a/packages/qz_fleet/qz_fleet.h
+++ b/packages/qz_fleet/qz_fleet.h
@@ -9,5 +9,7 @@
 #include "qz_fleet/links/linklimits.h"
 #include "qz_fleet/links/peerlink.h"
 #include "qz_fleet/links/peerlinks.h"
+#include "qz_fleet/membership/membership.h"
+#include "qz_fleet/membership/membershipdriver.h"
 #include "qz_fleet/messages/messagekind.h"
 #include "qz_fleet/messages/packing.h"
--- /dev/null
+++ b/packages/qz_fleet/tests/membershiptest.cpp
@@ -0,0 +1,312 @@
+// Tests of membership with many members under a manual clock.
+#include "fleetexchange.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace std::chrono_literals;
+using qz::FleetExchange;
+using qz::Member;
+using qz::MemberChangeKind;
+using qz::MemberState;
+
+namespace {
+
+const auto sizes = boost::unit_test::data::make({ 32, 200 });
+constexpr std::uint64_t seed = 20260;
+
+bool isGone(const Member *member)
+{
+    return member == nullptr;
+}
+
+bool isPresent(const Member *member)
+{
+    return member != nullptr;
+}
+
+bool isLeaving(const Member *member)
+{
+    return member != nullptr && member->state_ == MemberState::Leaving;
+}
+
+double seconds(qz::Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+/// Runs until all running nodes but @p about hold what @p holds asks for. Returns the time taken.
+template<typename Predicate>
+qz::Duration runUntilAllHold(FleetExchange &fleet, std::size_t about, Predicate holds,
+                             qz::Duration limit)
+{
+    const qz::TimePoint start = fleet.now();
+    const std::size_t others = fleet.countHolding(about, [](const Member *) { return true; });
+    fleet.run(limit, [&] { return fleet.countHolding(about, holds) == others; });
+    BOOST_TEST(fleet.countHolding(about, holds) == others);
+    return fleet.now() - start;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(aKilledMemberIsGoneEverywhereWithinTenSeconds, sizes, size)
+{
+    FleetExchange fleet(static_cast<std::size_t>(size), seed);
+    fleet.run(10s);
+    for (std::size_t victim = 1; victim <= 3; ++victim) {
+        fleet.kill(victim);
+        const auto time = runUntilAllHold(fleet, victim, isGone, 10s);
+        BOOST_TEST_MESSAGE("members " << size << ": killed one gone everywhere after "
+                                      << seconds(time) << " s");
+    }
+    BOOST_TEST(fleet.countOf(MemberChangeKind::Gone)
+               == static_cast<std::size_t>(size - 1 + size - 2 + size - 3));
+}
+
+BOOST_DATA_TEST_CASE(noLiveMemberIsRemovedUnderTenPercentLoss, sizes, size)
+{
+    FleetExchange fleet(static_cast<std::size_t>(size), seed);
+    fleet.setLoss(0.1);
+    fleet.run(300s);
+    BOOST_TEST(fleet.countOf(MemberChangeKind::Gone) == 0U);
+}
+
+BOOST_DATA_TEST_CASE(aKilledMemberIsFoundUnderTenPercentLoss, sizes, size)
+{
+    FleetExchange fleet(static_cast<std::size_t>(size), seed);
+    fleet.setLoss(0.1);
+    fleet.run(10s);
+    fleet.kill(5);
+    const auto time = runUntilAllHold(fleet, 5, isGone, 15s);
+    BOOST_TEST_MESSAGE("members " << size << ", 10 % loss: gone everywhere after " << seconds(time)
+                                  << " s");
+}
+
+BOOST_DATA_TEST_CASE(aOneWayCutBetweenTwoRemovesNobody, sizes, size)
+{
+    FleetExchange fleet(static_cast<std::size_t>(size), seed);
+    // Every member is cut from its next one, in one direction.
+    const auto count = fleet.size();
+    fleet.setCut([count](std::size_t from, std::size_t to) { return (from + 1) % count == to; });
+    fleet.run(60s);
+    BOOST_TEST(fleet.countOf(MemberChangeKind::Gone) == 0U);
+}
+
+BOOST_DATA_TEST_CASE(aMemberThatNobodyHearsIsGoneAndKnowsThatItIsCutOff, sizes, size)
+{
+    for (const bool isDeaf : { false, true }) {
+        FleetExchange fleet(static_cast<std::size_t>(size), seed);
+        fleet.run(10s);
+        fleet.clearChanges();
+        fleet.setCut(
+                [isDeaf](std::size_t from, std::size_t to) { return (isDeaf ? to : from) == 7; });
+        runUntilAllHold(fleet, 7, isGone, 10s);
+        fleet.run(10s);
+        BOOST_TEST(fleet.node(7).membership_->isCutOff(fleet.now()));
+        BOOST_TEST(!fleet.node(8).membership_->isCutOff(fleet.now()));
+        BOOST_TEST(fleet.node(7).membership_->members().size() == fleet.size());
+        fleet.setCut(nullptr);
+        const auto time = runUntilAllHold(fleet, 7, isPresent, 30s);
+        BOOST_TEST_MESSAGE("members " << size << ": back everywhere after " << seconds(time)
+                                      << " s");
+        BOOST_TEST(!fleet.node(7).membership_->isCutOff(fleet.now()));
+    }
+}
+
+BOOST_DATA_TEST_CASE(leavingAndEndingAreKnownEverywhereWithinSeconds, sizes, size)
+{
+    FleetExchange fleet(static_cast<std::size_t>(size), seed);
+    fleet.run(10s);
+    fleet.node(3).membership_->leave(fleet.now());
+    const auto leaving = runUntilAllHold(fleet, 3, isLeaving, 3s);
+    fleet.send(3, fleet.node(3).membership_->end(fleet.now()));
+    fleet.run(10ms);
+    fleet.kill(3);
+    const auto gone = runUntilAllHold(fleet, 3, isGone, 3s);
+    BOOST_TEST_MESSAGE("members " << size << ": leaving known after " << seconds(leaving)
+                                  << " s, end after " << seconds(gone) << " s");
+}
+
+BOOST_DATA_TEST_CASE(aRestartedMemberIsKnownByItsNewIncarnation, sizes, size)
+{
+    FleetExchange fleet(static_cast<std::size_t>(size), seed);
+    const auto hasIncarnation = [](const std::string &process) {
+        return [process](const Member *member) {
+            return member != nullptr && member->incarnation_ == process + "-instance-4";
+        };
+    };
+    const auto others = fleet.size() - 1;
+    const auto first = runUntilAllHold(fleet, 4, hasIncarnation("first"), 120s);
+    BOOST_TEST_MESSAGE("members " << size << ": first incarnation known after " << seconds(first)
+                                  << " s");
+    fleet.start(4, "another"); // Sorts before "first": only its version can say that it is newer.
+    fleet.giveList(4, fleet.listing());
+    const auto time = runUntilAllHold(fleet, 4, hasIncarnation("another"), 10s);
+    BOOST_TEST_MESSAGE("members " << size << ": restart known after " << seconds(time) << " s");
+    BOOST_TEST(fleet.countOf(MemberChangeKind::Restarted) == others);
+    BOOST_TEST(fleet.countOf(MemberChangeKind::Gone) == 0U);
+}
+
+BOOST_DATA_TEST_CASE(aNewMemberIsKnownEverywhereWhileTheListOfTheOthersIsOut, sizes, size)
+{
+    FleetExchange fleet(static_cast<std::size_t>(size), seed);
+    fleet.run(10s);
+    const std::size_t joiner = fleet.addNode();
+    fleet.start(joiner, "first");
+    fleet.giveList(joiner, fleet.listing());
+    const auto time = runUntilAllHold(fleet, joiner, isPresent, 10s);
+    BOOST_TEST_MESSAGE("members " << size << ": new member known after " << seconds(time) << " s");
+}
+
+BOOST_DATA_TEST_CASE(aNewMemberThatKnowsOneOtherLearnsAll, sizes, size)
+{
+    FleetExchange fleet(static_cast<std::size_t>(size), seed);
+    fleet.run(60s);
+    const std::size_t joiner = fleet.addNode();
+    fleet.start(joiner, "first");
+    qz::InstanceListing listing;
+    listing.instances_ = { fleet.listing().instances_.front() };
+    fleet.giveList(joiner, listing);
+    const qz::TimePoint start = fleet.now();
+    const auto knowsAll = [&] {
+        return fleet.node(joiner).membership_->members().size() == fleet.size();
+    };
+    fleet.run(60s, knowsAll);
+    BOOST_TEST(knowsAll());
+    BOOST_TEST_MESSAGE("members " << size << ": joiner with one address knows all after "
+                                  << seconds(fleet.now() - start) << " s");
+}
+
+BOOST_DATA_TEST_CASE(twoHalvesFindEachOtherAgain, sizes, size)
+{
+    FleetExchange fleet(static_cast<std::size_t>(size), seed);
+    fleet.run(10s);
+    fleet.setCut([](std::size_t from, std::size_t to) { return from % 2 != to % 2; });
+    fleet.run(60s);
+    const auto half = fleet.size() / 2;
+    BOOST_TEST(fleet.node(0).membership_->members().size() == half);
+    fleet.setCut(nullptr);
+    const qz::TimePoint start = fleet.now();
+    const auto isWhole = [&] {
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            if (fleet.node(i).membership_->members().size() != fleet.size()) {
+                return false;
+            }
+        }
+        return true;
+    };
+    fleet.run(120s, isWhole);
+    BOOST_TEST(isWhole());
+    BOOST_TEST_MESSAGE("members " << size << ": whole again after " << seconds(fleet.now() - start)
+                                  << " s");
+}
+
+BOOST_AUTO_TEST_CASE(aPausedMemberDeclaresNobodyDeadWhenItGoesOn)
+{
+    FleetExchange fleet(32, seed);
+    fleet.run(10s);
+    fleet.node(6).isPaused_ = true;
+    fleet.run(30s);
+    BOOST_TEST(fleet.countHolding(6, isGone) == 31U);
+    fleet.clearChanges();
+    fleet.node(6).isPaused_ = false;
+    BOOST_TEST(fleet.node(6).membership_->isCutOff(fleet.now()));
+    runUntilAllHold(fleet, 6, isPresent, 20s);
+    BOOST_TEST(fleet.countOf(MemberChangeKind::Gone) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aStaleListDoesNotBringADeadMemberBack)
+{
+    FleetExchange fleet(32, seed);
+    fleet.run(10s);
+    fleet.kill(9);
+    runUntilAllHold(fleet, 9, isGone, 10s);
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        if (i != 9) {
+            fleet.giveList(i, fleet.listing());
+        }
+    }
+    fleet.run(5s);
+    BOOST_TEST(fleet.countHolding(9, isGone) == 31U);
+}
+
+BOOST_AUTO_TEST_CASE(theListAndOwnProbesTogetherSettleAFleetOfTwo)
+{
+    FleetExchange fleet(2, seed);
+    fleet.run(10s);
+    fleet.kill(1);
+    fleet.run(20s);
+    BOOST_TEST(fleet.countHolding(1, isPresent) == 1U); // It may be us: nothing is declared.
+    BOOST_TEST(fleet.node(0).membership_->isCutOff(fleet.now()));
+    qz::InstanceListing listing = fleet.listing();
+    listing.instances_.pop_back();
+    fleet.giveList(0, listing);
+    BOOST_TEST(fleet.countHolding(1, isGone) == 1U);
+    BOOST_TEST(!fleet.node(0).membership_->isCutOff(fleet.now()));
+}
+
+BOOST_AUTO_TEST_CASE(aMemberListedAsLeavingGetsNoDuties)
+{
+    FleetExchange fleet(2, seed);
+    qz::InstanceListing listing = fleet.listing();
+    listing.instances_.back().state_ = qz::ListedState::Leaving;
+    fleet.giveList(0, listing);
+    fleet.giveList(1, listing);
+    BOOST_TEST(fleet.node(0).membership_->liveMembers().size() == 1U);
+    BOOST_TEST(fleet.node(1).membership_->isListedLeaving());
+}
+
+BOOST_AUTO_TEST_CASE(theHighestRulesVersionIsToldToAll)
+{
+    FleetExchange fleet(200, seed);
+    fleet.run(10s);
+    fleet.node(11).membership_->setRulesVersion(42);
+    const qz::TimePoint start = fleet.now();
+    const auto allKnow = [&] {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            // Each one that learns of a version puts it in force and tells it in turn.
+            auto &membership = *fleet.node(i).membership_;
+            membership.setRulesVersion(membership.highestRulesVersion().version_);
+            count += i == 11 || membership.highestRulesVersion().version_ == 42 ? 1 : 0;
+        }
+        return count == fleet.size();
+    };
+    fleet.run(10s, allKnow);
+    BOOST_TEST(allKnow());
+    BOOST_TEST_MESSAGE("members 200: rules version known after " << seconds(fleet.now() - start)
+                                                                 << " s");
+}
+
+BOOST_AUTO_TEST_CASE(theCostOfAMemberDoesNotGrowWithTheFleet)
+{
+    constexpr double maxBytesPerSecond = 12000;
+    std::map<std::size_t, double> messages;
+    for (const std::size_t size : { 8U, 32U, 200U, 1000U }) {
+        FleetExchange fleet(size, seed);
+        fleet.run(60s);
+        std::uint64_t messagesBefore = 0;
+        std::uint64_t bytesBefore = 0;
+        for (std::size_t i = 0; i < size; ++i) {
+            messagesBefore += fleet.node(i).messagesSent_;
+            bytesBefore += fleet.node(i).bytesSent_;
+        }
+        fleet.run(20s);
+        double sent = -static_cast<double>(messagesBefore);
+        double bytes = -static_cast<double>(bytesBefore);
+        for (std::size_t i = 0; i < size; ++i) {
+            sent += static_cast<double>(fleet.node(i).messagesSent_);
+            bytes += static_cast<double>(fleet.node(i).bytesSent_);
+        }
+        const double nodeSeconds = 20.0 * static_cast<double>(size);
+        messages[size] = sent / nodeSeconds;
+        BOOST_TEST_MESSAGE("members " << size << ": " << sent / nodeSeconds << " messages and "
+                                      << bytes / nodeSeconds << " bytes sent a second and node; "
+                                      << "first minute "
+                                      << static_cast<double>(bytesBefore) / nodeSeconds / 3
+                                      << " bytes");
+        BOOST_TEST(bytes / nodeSeconds < maxBytesPerSecond);
+    }
+    BOOST_TEST(messages[1000] < 1.1 * messages[32]);
+}
