--- a/packages/qz_fleet/membership/member.h
+++ b/packages/qz_fleet/membership/member.h
@@ -30,7 +30,7 @@
 enum class MemberChangeKind {
     Joined,    ///< Was unknown or gone.
     Restarted, ///< Has another incarnation: what its former process held is lost.
-    Updated,   ///< Its state or an address has changed.
+    Updated,   ///< Its state or an address has changed, or it was heard for the first time.
     Gone,      ///< Dead, or ended by its own word, or dropped from the platform's list.
 };
 
