--- /dev/null
+++ b/apps/quetzaldaled/daemonsettings.cpp
@@ -0,0 +1,94 @@
+// What a daemon is told at its start.
+#include "quetzaldaled/daemonsettings.h"
+
+namespace qz {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t leastSecretLength = 16;
+constexpr std::int64_t leastBodyBytes = 1024;
+constexpr std::int64_t mostBodyBytes = 1024 * 1024; ///< A frame between instances must hold it.
+constexpr Duration longest = 24h;
+
+std::string readSecret(SettingsReader &reader, const std::string &name)
+{
+    std::string secret = reader.text(name);
+    if (!secret.empty() && secret.size() < leastSecretLength) {
+        reader.addProblem(
+                name, "must have at least " + std::to_string(leastSecretLength) + " characters");
+    }
+    return secret;
+}
+
+void checkTogether(const DaemonSettings &settings, SettingsReader &reader)
+{
+    if (settings.callerAddress_ == settings.peerAddress_ && settings.callerAddress_.port_ != 0) {
+        reader.addProblem("peer-address", "must differ from --caller-address");
+    }
+    if (settings.gateDrainGrace_ > settings.drainGrace_) {
+        reader.addProblem("gate-drain-grace-ms", "must not be above --drain-grace-ms");
+    }
+    if (settings.drainGrace_ < settings.addressKeepTime_) {
+        reader.addProblem("drain-grace-ms", "must not be below --address-keep-ms");
+    }
+    if (settings.drainGrace_ > settings.drainLimit_) {
+        reader.addProblem("drain-limit-ms", "must not be below --drain-grace-ms");
+    }
+}
+
+std::int64_t toMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace
+
+DaemonSettings DaemonSettings::read(SettingsReader &reader)
+{
+    DaemonSettings settings;
+    settings.instanceId_ = InstanceId(reader.text("instance-id"));
+    settings.location_.region_ = RegionId(reader.text("region"));
+    settings.location_.failureDomain_ = FailureDomainId(reader.text("failure-domain"));
+    settings.callerAddress_ = reader.endpoint("caller-address");
+    settings.peerAddress_ = reader.endpoint("peer-address");
+    settings.platformAddress_ = reader.endpoint("platform-address");
+    settings.fleetKey_ = readSecret(reader, "fleet-key");
+    settings.operatorToken_ = readSecret(reader, "operator-token");
+    settings.platformTimeout_ = reader.milliseconds("platform-timeout-ms", 10ms, 60s, 1s);
+    settings.addressKeepTime_ = reader.milliseconds("address-keep-ms", 100ms, 10min, 10s);
+    settings.gateDrainGrace_ = reader.milliseconds("gate-drain-grace-ms", 0ms, 10min, 2s);
+    settings.drainGrace_ = reader.milliseconds("drain-grace-ms", 0ms, longest, 11s);
+    settings.drainLimit_ = reader.milliseconds("drain-limit-ms", 0ms, longest, 40s);
+    settings.rulesLimit_ = reader.milliseconds("rules-limit-ms", 1s, 60s, 5s);
+    settings.bodyLimitBytes_ = static_cast<std::size_t>(
+            reader.integer("body-limit-bytes", leastBodyBytes, mostBodyBytes, mostBodyBytes));
+    const auto level = parseLogLevel(reader.text("log-level", "info"));
+    if (level.has_error()) {
+        reader.addProblem("log-level", level.error().message_);
+    } else {
+        settings.logLevel_ = level.value();
+    }
+    checkTogether(settings, reader);
+    return settings;
+}
+
+nlohmann::json DaemonSettings::toJson() const
+{
+    return { { "instance-id", instanceId_.value() },
+             { "region", location_.region_.value() },
+             { "failure-domain", location_.failureDomain_.value() },
+             { "caller-address", toString(callerAddress_) },
+             { "peer-address", toString(peerAddress_) },
+             { "platform-address", toString(platformAddress_) },
+             { "platform-timeout-ms", toMilliseconds(platformTimeout_) },
+             { "address-keep-ms", toMilliseconds(addressKeepTime_) },
+             { "gate-drain-grace-ms", toMilliseconds(gateDrainGrace_) },
+             { "drain-grace-ms", toMilliseconds(drainGrace_) },
+             { "drain-limit-ms", toMilliseconds(drainLimit_) },
+             { "rules-limit-ms", toMilliseconds(rulesLimit_) },
+             { "body-limit-bytes", bodyLimitBytes_ } };
+}
+
+} // namespace qz
--- a/packages/qz_fleet/membership/membership.cpp
+++ b/packages/qz_fleet/membership/membership.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t accusersToConfirm = 2;
 /// Each neighbour, before and after on each ring, is told of news twice.
 constexpr int transmissionsPerRing = 4;
-constexpr Duration cleaningPeriod = std::chrono::seconds(1);
+constexpr Duration cleaningPeriod = std::chrono::seconds(10);
 
 MemberUpdate toUpdate(const Member &member)
 {
@@ -262,7 +262,7 @@
 {
     for (auto entry = accusedSince_.begin(); entry != accusedSince_.end();) {
         const MemberUpdate *suspect = table_.find(entry->first);
-        const bool isOpen = suspect != nullptr && suspect->verdict() == Verdict::Suspect
+        const bool isOpen = suspect != nullptr && suspect->verdict() == MemberVerdict::Suspect
                 && prober_.isFailing(entry->first);
         if (!isOpen) {
             entry = accusedSince_.erase(entry);
@@ -345,7 +345,7 @@
 {
     const bool isOthersVerdict = update.isDead() && !update.hasEndedItself();
     if (isOthersVerdict && hasHeard(update.id_, now) && contacts_[update.id_].hasHeardUs_) {
-        update.setVerdict(Verdict::Suspect); // Reached a moment ago: let it refute.
+        update.setVerdict(MemberVerdict::Suspect); // Reached a moment ago: let it refute.
     }
     const InstanceId id = update.id_;
     if (table_.merge(update, now) == MergeResult::News) {
@@ -405,9 +405,11 @@
     // What is held against the receiver, or a former process of its, goes first: only the
     // receiver can set that right.
     const MemberUpdate *receiver = table_.find(to);
-    if (receiver != nullptr && (receiver->isHeard() || receiver->verdict() != Verdict::Alive)) {
+    if (receiver != nullptr
+        && (receiver->isHeard() || receiver->verdict() != MemberVerdict::Alive)) {
         const auto contact = contacts_.find(to);
-        const bool isSure = contact != contacts_.end() && receiver->verdict() == Verdict::Alive
+        const bool isSure = contact != contacts_.end()
+                && receiver->verdict() == MemberVerdict::Alive
                 && contact->second.version_ == receiver->version_
                 && contact->second.incarnation_ == receiver->incarnation_;
         if (!isSure) {
--- a/packages/qz_fleet/membership/membertable.cpp
+++ b/packages/qz_fleet/membership/membertable.cpp
@@ -73,7 +73,7 @@
 void MemberTable::end()
 {
     self_.isLeaving_ = true;
-    self_.setVerdict(Verdict::Dead);
+    self_.setVerdict(MemberVerdict::Dead);
     self_.accusers_ = { self_.id_ };
     touch(self_.id_);
 }
@@ -98,7 +98,7 @@
     }
     touch(news.id_);
     const bool isFirstWord = !wasHeard && !wasDead && !record.update_.isLeaving_
-            && record.update_.verdict() == Verdict::Alive;
+            && record.update_.verdict() == MemberVerdict::Alive;
     return isFirstWord ? MergeResult::Background : MergeResult::News;
 }
 
@@ -128,9 +128,9 @@
         return false;
     }
     MemberUpdate &update = entry->second.update_;
-    const bool wasAlive = update.verdict() == Verdict::Alive;
+    const bool wasAlive = update.verdict() == MemberVerdict::Alive;
     if (wasAlive) {
-        update.setVerdict(Verdict::Suspect);
+        update.setVerdict(MemberVerdict::Suspect);
         update.accusers_.clear();
     }
     const bool isNew = addAccuser(update, accuser);
@@ -146,7 +146,7 @@
     if (entry == records_.end() || entry->second.update_.isDead()) {
         return false;
     }
-    entry->second.update_.setVerdict(Verdict::Dead);
+    entry->second.update_.setVerdict(MemberVerdict::Dead);
     entry->second.deadSince_ = now;
     touch(member);
     return true;
@@ -207,20 +207,6 @@
     return peers;
 }
 
-std::uint64_t MemberTable::digest() const
-{
-    if (!digest_) {
-        std::uint64_t digest = self_.isDead() ? 0 : hashOf(self_);
-        for (const auto &[id, record] : records_) {
-            if (record.update_.isHeard() && !record.update_.isDead()) {
-                digest ^= hashOf(record.update_);
-            }
-        }
-        digest_ = digest;
-    }
-    return *digest_;
-}
-
 std::vector<MemberChange> MemberTable::takeChanges()
 {
     std::vector<MemberChange> changes;
@@ -242,7 +228,7 @@
     if (self_.isDead()) {
         return MergeResult::Known;
     }
-    const bool isAccused = isSameVersion(news, self_) && news.verdict() != Verdict::Alive;
+    const bool isAccused = isSameVersion(news, self_) && news.verdict() != MemberVerdict::Alive;
     if (!isAccused && !isNewer(news, self_)) {
         return MergeResult::Known;
     }
@@ -284,10 +270,17 @@
     record.update_.location_ = listed.location_;
 }
 
+/// To be called after each change of what is known of @p member.
 void MemberTable::touch(const InstanceId &member)
 {
     touched_.insert(member);
-    digest_.reset();
+    const auto entry = records_.find(member);
+    const bool isSelf = member == self_.id_;
+    const MemberUpdate &update = isSelf ? self_ : entry->second.update_;
+    std::uint64_t &hash = isSelf ? selfHash_ : entry->second.hash_;
+    digest_ ^= hash;
+    hash = update.isHeard() && !update.isDead() ? hashOf(update) : 0;
+    digest_ ^= hash;
 }
 
 std::optional<Member> MemberTable::effective(const InstanceId &member) const
--- a/packages/qz_fleet/membership/memberupdate.cpp
+++ b/packages/qz_fleet/membership/memberupdate.cpp
@@ -44,14 +44,14 @@
 
 } // namespace
 
-std::string_view toString(Verdict verdict)
+std::string_view toString(MemberVerdict verdict)
 {
     switch (verdict) {
-    case Verdict::Alive:
+    case MemberVerdict::Alive:
         return "alive";
-    case Verdict::Suspect:
+    case MemberVerdict::Suspect:
         return "suspect";
-    case Verdict::Dead:
+    case MemberVerdict::Dead:
         break;
     }
     return "dead";
@@ -66,7 +66,7 @@
 {
     const auto isLong = [](const InstanceId &id) { return id.value().size() > maxIdBytes; };
     return !update.id_.isEmpty() && !isLong(update.id_) && update.incarnation_.size() <= maxIdBytes
-            && update.verdict_ <= static_cast<std::uint8_t>(Verdict::Dead)
+            && update.verdict_ <= static_cast<std::uint8_t>(MemberVerdict::Dead)
             && isBounded(update.peerEndpoint_) && isBounded(update.callerEndpoint_)
             && isBounded(update.location_) && update.accusers_.size() <= maxAccusers
             && std::none_of(update.accusers_.begin(), update.accusers_.end(), isLong);
--- a/packages/qz_fleet/membership/memberupdate.h
+++ b/packages/qz_fleet/membership/memberupdate.h
@@ -12,9 +12,9 @@
 namespace qz {
 
 /// What the fleet holds about a member. Of two verdicts on the same version the higher wins.
-enum class Verdict : std::uint8_t { Alive, Suspect, Dead };
+enum class MemberVerdict : std::uint8_t { Alive, Suspect, Dead };
 
-std::string_view toString(Verdict verdict);
+std::string_view toString(MemberVerdict verdict);
 
 /// The state of one member at one version. Only the member itself raises the version: to
 /// refute a verdict, or after a restart to go before its former process.
@@ -24,7 +24,7 @@
     InstanceId id_;
     std::string incarnation_; ///< The process; empty if known from the platform's list only.
     std::uint64_t version_ = 0;
-    std::uint8_t verdict_ = 0; ///< A Verdict.
+    std::uint8_t verdict_ = 0; ///< A MemberVerdict.
     bool isLeaving_ = false;   ///< Never falls back within an incarnation.
     Endpoint peerEndpoint_;
     Endpoint callerEndpoint_;
@@ -36,9 +36,9 @@
     MSGPACK_DEFINE(id_, incarnation_, version_, verdict_, isLeaving_, peerEndpoint_,
                    callerEndpoint_, location_, accusers_)
 
-    Verdict verdict() const { return static_cast<Verdict>(verdict_); }
-    void setVerdict(Verdict verdict) { verdict_ = static_cast<std::uint8_t>(verdict); }
-    bool isDead() const { return verdict() == Verdict::Dead; }
+    MemberVerdict verdict() const { return static_cast<MemberVerdict>(verdict_); }
+    void setVerdict(MemberVerdict verdict) { verdict_ = static_cast<std::uint8_t>(verdict); }
+    bool isDead() const { return verdict() == MemberVerdict::Dead; }
     /// True if the member itself has been heard, by whomever.
     bool isHeard() const { return !incarnation_.empty(); }
     bool hasEndedItself() const;
--- a/packages/qz_proxy/entry/callerreply.cpp
+++ b/packages/qz_proxy/entry/callerreply.cpp
@@ -1,7 +1,6 @@
 // The answer to a caller.
 #include "qz_proxy/entry/callerreply.h"
 
-
 #include <nlohmann/json.hpp>
 
 namespace qz {
--- a/packages/qz_proxy/entry/callerreply.h
+++ b/packages/qz_proxy/entry/callerreply.h
@@ -13,9 +13,9 @@
 constexpr const char *cause = "Quetzaldale-Cause";     ///< Name of an error kind.
 constexpr const char *rulesVersion = "Quetzaldale-Rules-Version";
 constexpr const char *instance = "Quetzaldale-Instance";
-constexpr const char *server = "Quetzaldale-Server"; ///< The backend server tried last.
+constexpr const char *server = "Quetzaldale-Server";        ///< The backend server tried last.
 constexpr const char *requestId = "Quetzaldale-Request-Id"; ///< For `quetzalctl requests explain`.
-constexpr const char *callerRequestId = "X-Request-Id"; ///< The caller's own, given back.
+constexpr const char *callerRequestId = "X-Request-Id";     ///< The caller's own, given back.
 } // namespace replyheader
 
 /// The whole answer of a backend server, with the outcome added.
--- a/packages/qz_proxy/entry/entryservice.cpp
+++ b/packages/qz_proxy/entry/entryservice.cpp
@@ -11,11 +11,18 @@
 
 constexpr std::string_view addressesPath = "/quetzaldale/addresses";
 
+EntryDirectory::Limits makeLimits(Duration addressKeepTime)
+{
+    EntryDirectory::Limits limits;
+    limits.keepFor_ = addressKeepTime;
+    return limits;
+}
+
 } // namespace
 
-EntryService::EntryService(const EntryParts &parts)
+EntryService::EntryService(const EntryParts &parts, Duration addressKeepTime)
     : parts_(parts)
-    , directory_(EntryDirectory::Limits{})
+    , directory_(makeLimits(addressKeepTime))
 {
 }
 
--- a/packages/qz_proxy/entry/entryservice.h
+++ b/packages/qz_proxy/entry/entryservice.h
@@ -15,7 +15,8 @@
 class EntryService
 {
 public:
-    explicit EntryService(const EntryParts &parts);
+    /// Callers are told to keep an address for @p addressKeepTime.
+    EntryService(const EntryParts &parts, Duration addressKeepTime);
     EntryService(const EntryService &) = delete;
     EntryService &operator=(const EntryService &) = delete;
 
