--- /dev/null
+++ b/packages/qz_once/tests/claimbatchertest.cpp
@@ -0,0 +1,110 @@
+// Tests of grouping claim writes.
+#include "qz_once/batching/claimbatcher.h"
+#include "claimfixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace qz;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct BatcherFixture : ClaimFixture
+{
+    void write(const std::string &key)
+    {
+        batcher_.write(TableWrite{ key, 0, "{}" }, [this, key](const Result<RowWriteOutcome> &end) {
+            if (!end.has_value()) {
+                failed_.push_back(key);
+            } else {
+                (end.value() == RowWriteOutcome::Applied ? applied_ : refused_).push_back(key);
+            }
+        });
+    }
+
+    ClaimBatchLimits limits_;
+    ClaimBatcher batcher_{ table_, timers_, clock_, limits_ };
+    std::vector<std::string> applied_;
+    std::vector<std::string> refused_;
+    std::vector<std::string> failed_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(claimBatcher, BatcherFixture)
+
+BOOST_AUTO_TEST_CASE(writesOfAShortTimeAreOneTransaction)
+{
+    for (int i = 0; i < 10; ++i) {
+        write("once/w/" + std::to_string(i));
+    }
+    settle();
+    BOOST_TEST(applied_.size() == 10U);
+    BOOST_TEST(table_.commitCount() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aFullGroupDoesNotWait)
+{
+    for (std::size_t i = 0; i < limits_.batchSize_; ++i) {
+        write("once/w/" + std::to_string(i));
+    }
+    timers_.runDue();
+    table_.deliver();
+    BOOST_TEST(applied_.size() == limits_.batchSize_);
+}
+
+BOOST_AUTO_TEST_CASE(conflictsAreSplitOutAndTheRestIsCommittedAgain)
+{
+    write("once/w/taken");
+    settle();
+    for (const char *key : { "once/w/a", "once/w/taken", "once/w/b" }) {
+        write(key);
+    }
+    settle();
+    BOOST_TEST((refused_ == std::vector<std::string>{ "once/w/taken" }));
+    BOOST_TEST((applied_ == std::vector<std::string>{ "once/w/taken", "once/w/a", "once/w/b" }));
+}
+
+BOOST_AUTO_TEST_CASE(twoWritesOfOneRowAreNeverInOneGroup)
+{
+    write("once/w/a");
+    write("once/w/a");
+    settle();
+    BOOST_TEST(applied_.size() == 1U);
+    BOOST_TEST(refused_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(groupsKeepTheirIntervalAndTheirSize)
+{
+    constexpr std::size_t writes = 1000;
+    for (std::size_t i = 0; i < writes; ++i) {
+        write("once/w/" + std::to_string(i));
+    }
+    settle(100ms);
+    BOOST_TEST(table_.commitCount() <= 6U);
+    settle(1s);
+    BOOST_TEST(applied_.size() == writes);
+    BOOST_TEST(table_.commitCount() == (writes + limits_.batchSize_ - 1) / limits_.batchSize_);
+}
+
+BOOST_AUTO_TEST_CASE(aFullQueueRefuses)
+{
+    for (std::size_t i = 0; i <= limits_.queueSize_; ++i) {
+        write("once/w/" + std::to_string(i));
+    }
+    BOOST_TEST(failed_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aLostAnswerFailsTheWholeGroup)
+{
+    table_.setFault(FakeTable::Fault::LoseAnswers);
+    write("once/w/a");
+    write("once/w/b");
+    settle();
+    BOOST_TEST(failed_.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
