Forgive a rank what it used beyond its share before a flood

Cause: a rank that had used more than its share while slots were free started a flood of the urgent rank one second of its share in debt, and got nothing until that was earned back. The debt now ends at 100 ms of the share; what a rank is owed may still reach 1 s.

--- a/packages/qz_admission/policies/sharedrankspolicy.cpp
+++ b/packages/qz_admission/policies/sharedrankspolicy.cpp
@@ -8,9 +8,13 @@
 
 namespace {
 
-/// How far a rank's use of its share may run ahead or behind.
+/// How far a rank may fall behind its share and still be given it later.
 constexpr Duration creditWindow = std::chrono::seconds(1);
 
+/// How far a rank may run ahead of its share before the rest is forgiven: slots that it took
+/// while no other rank wanted them aren't held against it for long.
+constexpr Duration debtWindow = std::chrono::milliseconds(100);
+
 Duration scaled(Duration duration, double factor)
 {
     return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
@@ -51,8 +55,10 @@
 
 void SharedRanksPolicy::addCredit(RankQueue &rank, Duration amount) const
 {
-    const Duration limit = scaled(creditWindow, rank.share_ * slots_);
-    rank.credit_ = std::clamp(rank.credit_ + amount, -limit, limit);
+    const double earning = rank.share_ * slots_;
+    const Duration least = -scaled(debtWindow, earning);
+    const Duration most = scaled(creditWindow, earning);
+    rank.credit_ = std::clamp(rank.credit_ + amount, least, most);
 }
 
 void SharedRanksPolicy::insert(const QueuedTicket &queued, TimePoint now)
--- a/packages/qz_admission/policies/sharedrankspolicy.h
+++ b/packages/qz_admission/policies/sharedrankspolicy.h
@@ -37,7 +37,7 @@
     struct RankQueue
     {
         double share_ = 0.0; ///< The shares of all ranks sum to at most 1.
-        Duration credit_{};  ///< Slot time earned and not used; at most creditWindow of its share.
+        Duration credit_{};  ///< Slot time earned and not used; negative: used ahead.
         WorkspaceFairQueue tickets_;
     };
 
