Cross regions only for an answer that comes much sooner

Cause: a request crossed as soon as the own region's answer was a hair over the target and the other one's a hair below. With both regions flooded and queues about as long as the target, work went to and fro over the narrow link. The answer from the other region must now come in half the time.

A flood of one region alone was not measured.

--- a/packages/qz_entries/choice/localfirstchoice.cpp
+++ b/packages/qz_entries/choice/localfirstchoice.cpp
@@ -7,6 +7,14 @@
 
 namespace qz {
 
+namespace {
+
+/// How many times sooner an answer from another region must be, so that work doesn't go to and
+/// fro while both regions are about as busy.
+constexpr int minGain = 2;
+
+} // namespace
+
 std::optional<std::size_t> LocalFirstChoice::choose(const std::vector<ServerCandidate> &candidates,
                                                     const ServerRequest &request,
                                                     std::mt19937_64 &generator) const
@@ -19,18 +27,22 @@
     const CandidateIndexes remote(firstRemote, usable.end());
     usable.erase(firstRemote, usable.end());
 
-    const auto isInTarget = [&](std::size_t index) {
-        return expectedAnswer(candidates[index], request) <= request.target_;
-    };
     const auto local = betterOfTwo(candidates, request, usable, generator);
-    if (local && isInTarget(*local)) {
+    if (!local) {
+        return betterOfTwo(candidates, request, remote, generator);
+    }
+    const Duration localAnswer = expectedAnswer(candidates[*local], request);
+    if (localAnswer <= request.target_) {
         return local;
     }
     const auto other = betterOfTwo(candidates, request, remote, generator);
-    if (!local || (other && isInTarget(*other))) {
-        return other;
+    if (!other) {
+        return local;
     }
-    return local;
+    const Duration otherAnswer = expectedAnswer(candidates[*other], request);
+    const bool isWorthTheLink =
+            otherAnswer <= request.target_ && minGain * otherAnswer <= localAnswer;
+    return isWorthTheLink ? other : local;
 }
 
 } // namespace qz
--- a/packages/qz_entries/choice/localfirstchoice.h
+++ b/packages/qz_entries/choice/localfirstchoice.h
@@ -11,8 +11,9 @@
 namespace qz {
 
 /// The better of two within the own region. Another region is chosen only if the answer from
-/// the own one would miss its target and the answer from there would not, since the link
-/// between regions is narrow and paid by volume; or if the own region has no server.
+/// the own one would miss its target and the answer from there would not and come much sooner,
+/// since the link between regions is narrow and paid by volume; or if the own region has no
+/// server.
 /// @see ServerChooser
 class LocalFirstChoice
 {
