Forgive a rank's use beyond its share only while nobody else waits

Cause: the debt of a rank ended at 100 ms of its share at all times. Work that runs longer than expected overshoots this with each request, and what lay beyond was never charged: a rank of share 10 % whose requests took 50 ms where 10 ms were expected got 18 % of the slot's time while the urgent rank flooded. The limit now holds only while at most one rank has work waiting; otherwise a debt may reach the same 1 s of the share as a credit.

--- a/packages/qz_admission/policies/sharedrankspolicy.cpp
+++ b/packages/qz_admission/policies/sharedrankspolicy.cpp
@@ -8,12 +8,12 @@
 
 namespace {
 
-/// How far a rank may fall behind its share and still be given it later.
+/// How far a rank may run ahead of its share, or fall behind it and still be given it later.
 constexpr Duration creditWindow = std::chrono::seconds(1);
 
-/// How far a rank may run ahead of its share before the rest is forgiven: slots that it took
-/// while no other rank wanted them aren't held against it for long.
-constexpr Duration debtWindow = std::chrono::milliseconds(100);
+/// How much of what a rank ran ahead is kept while no two ranks wait: slots that nobody else
+/// wanted aren't held against it for long.
+constexpr Duration uncontendedDebtWindow = std::chrono::milliseconds(100);
 
 Duration scaled(Duration duration, double factor)
 {
@@ -46,19 +46,30 @@
 {
     const Duration passed = std::max(Duration{}, now - settledAt_);
     settledAt_ = std::max(now, settledAt_);
+    int waitingRanks = 0;
     for (RankQueue &rank : ranks_) {
         if (!rank.tickets_.isEmpty()) {
+            ++waitingRanks;
             addCredit(rank, scaled(passed, rank.share_ * slots_));
         }
     }
+    if (waitingRanks < 2 && passed > Duration{}) {
+        forgiveDebts();
+    }
 }
 
 void SharedRanksPolicy::addCredit(RankQueue &rank, Duration amount) const
 {
-    const double earning = rank.share_ * slots_;
-    const Duration least = -scaled(debtWindow, earning);
-    const Duration most = scaled(creditWindow, earning);
-    rank.credit_ = std::clamp(rank.credit_ + amount, least, most);
+    const Duration limit = scaled(creditWindow, rank.share_ * slots_);
+    rank.credit_ = std::clamp(rank.credit_ + amount, -limit, limit);
+}
+
+void SharedRanksPolicy::forgiveDebts()
+{
+    for (RankQueue &rank : ranks_) {
+        const Duration most = scaled(uncontendedDebtWindow, rank.share_ * slots_);
+        rank.credit_ = std::max(rank.credit_, -most);
+    }
 }
 
 void SharedRanksPolicy::insert(const QueuedTicket &queued, TimePoint now)
--- a/packages/qz_admission/policies/sharedrankspolicy.h
+++ b/packages/qz_admission/policies/sharedrankspolicy.h
@@ -46,6 +46,7 @@
     RankQueue &queueOf(const QueuedTicket &queued) { return ranks_.at(queued.ticket_.rank_); }
     void settle(TimePoint now);
     void addCredit(RankQueue &rank, Duration amount) const;
+    void forgiveDebts();
     bool isOwed(const RankQueue &rank) const;
     Duration waitFor(std::size_t rank, Duration ownAhead, const SlotLoad &load) const;
     bool isOverItsPlaces(const RankQueue &rank, std::size_t maxQueued) const;
