Hold an overloaded rank to its target

Cause: a rank that floods had a queue as long as its deadline allowed, so that nearly all its answers missed the target and some their deadline, for no gain: the slots do the same work with a short queue. A rank that had to refuse work now takes only what can be answered within its target, until nothing was refused for twice the target. A burst that can be answered in time is still taken whole.

Ruled out: holding every rank to its target at all times, which refuses bursts that the slots could have answered.

--- a/packages/qz_admission/policies/admissionpolicy.h
+++ b/packages/qz_admission/policies/admissionpolicy.h
@@ -11,6 +11,7 @@
 namespace qz {
 
 /// Every alternative has the same members, called by AdmissionQueue through visitors:
+/// - limitsOverloadToTarget(): whether a rank that had to refuse work is held to its target;
 /// - insert(queued, now), erase(queued, now): a ticket comes, or leaves without a slot;
 /// - next(now): the id of the ticket that gets the next slot, if any is queued;
 /// - start(queued, now), finish(queued, used, now): a slot is taken, freed;
--- a/packages/qz_admission/policies/fifopolicy.h
+++ b/packages/qz_admission/policies/fifopolicy.h
@@ -19,6 +19,7 @@
 {
 public:
     std::string_view name() const { return "fifo"; }
+    bool limitsOverloadToTarget() const { return false; }
     void configure(int slots, const std::vector<RankShare> &ranks, TimePoint now);
     void insert(const QueuedTicket &queued, TimePoint now);
     void erase(const QueuedTicket &queued, TimePoint now);
--- a/packages/qz_admission/policies/sharedrankspolicy.h
+++ b/packages/qz_admission/policies/sharedrankspolicy.h
@@ -16,6 +16,7 @@
 /// share: a rank with queued work earns its share of the slots' time, pays for each slot it
 /// takes, and goes first once it has earned the time that its next ticket needs.
 /// Within a rank, workspaces share by weight.
+/// A rank that had to refuse work takes only what can be answered within its target.
 /// In a full queue each rank keeps its share of the places in the same way. What a rank must give
 /// up is what earns the least worth per slot time.
 /// @see AdmissionPolicy for the members, WorkspaceFairQueue
@@ -23,6 +24,7 @@
 {
 public:
     std::string_view name() const { return "shared-ranks"; }
+    bool limitsOverloadToTarget() const { return true; }
     void configure(int slots, const std::vector<RankShare> &ranks, TimePoint now);
     void insert(const QueuedTicket &queued, TimePoint now);
     void erase(const QueuedTicket &queued, TimePoint now);
--- a/packages/qz_admission/policies/strictprioritypolicy.h
+++ b/packages/qz_admission/policies/strictprioritypolicy.h
@@ -12,6 +12,7 @@
 {
 public:
     std::string_view name() const { return "strict-priority"; }
+    bool limitsOverloadToTarget() const { return false; }
     void configure(int slots, const std::vector<RankShare> &ranks, TimePoint now);
     void insert(const QueuedTicket &queued, TimePoint now);
     void erase(const QueuedTicket &queued, TimePoint now);
--- a/packages/qz_admission/queue/admissionqueue.cpp
+++ b/packages/qz_admission/queue/admissionqueue.cpp
@@ -7,6 +7,13 @@
 
 namespace qz {
 
+namespace {
+
+/// An overload is over once nothing was refused for so many times the target of the rank.
+constexpr int overloadQuietTargets = 2;
+
+} // namespace
+
 AdmissionQueue::Builder &AdmissionQueue::Builder::setSlots(int slots)
 {
     slots_ = slots;
@@ -48,31 +55,59 @@
     dropExpired(now);
     ticket.rank_ = std::min(ticket.rank_, ranks_.size() - 1);
     const Duration expected = serviceTimes_.expected(ticket.kind_);
-    QueuedTicket queued{ std::move(ticket), nextSequence_++, expected };
-    if (!makeTime(queued, now)) {
-        return failure(ErrorKind::DeadlineUnreachable, "the work ahead leaves no time to answer");
-    }
+    QueuedTicket queued{ std::move(ticket), nextSequence_++, now, expected };
+    BOOST_OUTCOME_TRY(makeTime(queued, now));
     if (!makePlace(queued, now)) {
+        recordOverload(queued, now);
         return failure(ErrorKind::QueueFull, "the queue is full of work that goes first");
     }
     insert(std::move(queued), now);
     return success();
 }
 
-Duration AdmissionQueue::lateness(const QueuedTicket &queued, TimePoint now) const
+TimePoint AdmissionQueue::expectedAnswer(const QueuedTicket &queued, TimePoint now) const
 {
     const SlotLoad load = slotLoad(now);
     const Duration wait =
             std::visit([&](const auto &policy) { return policy.wait(queued, load); }, policy_);
-    return now + wait + serviceTimes_.cautious(queued.ticket_.kind_) - queued.ticket_.deadline_;
+    return now + wait + serviceTimes_.cautious(queued.ticket_.kind_);
 }
 
-bool AdmissionQueue::makeTime(const QueuedTicket &queued, TimePoint now)
+Duration AdmissionQueue::targetOf(std::size_t rank) const
 {
-    const Duration late = lateness(queued, now);
-    if (late <= Duration{}) {
-        return true;
+    return ranks_[std::min(rank, ranks_.size() - 1)].target_;
+}
+
+bool AdmissionQueue::isHeldToTarget(std::size_t rank, TimePoint now) const
+{
+    const bool isLimiting =
+            std::visit([](const auto &policy) { return policy.limitsOverloadToTarget(); }, policy_);
+    const Duration target = targetOf(rank);
+    return isLimiting && target > Duration{}
+    && overloads_[rank].isSet(now, overloadQuietTargets * target);
+}
+
+Result<void> AdmissionQueue::makeTime(const QueuedTicket &queued, TimePoint now)
+{
+    const std::size_t rank = queued.ticket_.rank_;
+    const TimePoint answer = expectedAnswer(queued, now);
+    const TimePoint inTarget = now + targetOf(rank);
+    const TimePoint deadline = queued.ticket_.deadline_;
+    const TimePoint limit = isHeldToTarget(rank, now) ? std::min(deadline, inTarget) : deadline;
+    if (answer <= limit || displaceLessWorthy(queued, answer - limit, now)) {
+        return success();
+    }
+    if (answer > inTarget) {
+        overloads_[rank].recordRefusal(now);
+    }
+    if (answer <= deadline) {
+        return failure(ErrorKind::QueueFull, "the rank is overloaded up to its target");
     }
+    return failure(ErrorKind::DeadlineUnreachable, "the work ahead leaves no time to answer");
+}
+
+bool AdmissionQueue::displaceLessWorthy(const QueuedTicket &queued, Duration late, TimePoint now)
+{
     const auto lesser =
             std::visit([&](const auto &policy) { return policy.lessWorthy(queued); }, policy_);
     if (!lesser || late > queued_.at(*lesser).expected_ / std::max(1, slots_)) {
@@ -82,6 +117,11 @@
     return true;
 }
 
+void AdmissionQueue::recordOverload(const QueuedTicket &queued, TimePoint now)
+{
+    overloads_[queued.ticket_.rank_].recordRefusal(now);
+}
+
 bool AdmissionQueue::makePlace(const QueuedTicket &queued, TimePoint now)
 {
     if (queued_.size() < maxQueued_) {
@@ -92,6 +132,7 @@
     if (!victim) {
         return false;
     }
+    recordOverload(queued_.at(*victim), now);
     drop(*victim, ErrorKind::QueueFull, now);
     return true;
 }
@@ -168,7 +209,11 @@
 void AdmissionQueue::dropExpired(TimePoint now)
 {
     while (!expiries_.empty() && expiries_.begin()->latestStart_ < now) {
-        drop(expiries_.begin()->id_, ErrorKind::DeadlineExpiredInQueue, now);
+        const QueuedTicket &queued = queued_.at(expiries_.begin()->id_);
+        if (now - queued.offeredAt_ > targetOf(queued.ticket_.rank_)) {
+            recordOverload(queued, now);
+        }
+        drop(queued.ticket_.id_, ErrorKind::DeadlineExpiredInQueue, now);
     }
 }
 
@@ -190,6 +235,7 @@
 {
     assert(!ranks.empty());
     ranks_ = std::move(ranks);
+    overloads_.resize(std::max(overloads_.size(), ranks_.size()));
     setSlots(slots_);
 }
 
--- a/packages/qz_admission/queue/admissionqueue.h
+++ b/packages/qz_admission/queue/admissionqueue.h
@@ -3,6 +3,7 @@
 
 #include "qz_admission/estimates/servicetimes.h"
 #include "qz_admission/policies/admissionpolicy.h"
+#include "qz_admission/queue/overloadmark.h"
 #include "qz_admission/queue/ticket.h"
 #include "qz_core/errors/error.h"
 
@@ -35,7 +36,8 @@
 
     /// Queues @p ticket; its id must not be queued or running here.
     /// A rank beyond the last one counts as the last.
-    /// Errors: QueueFull; DeadlineUnreachable if the work ahead of it and the measured service
+    /// Errors: QueueFull if the queue is, or if the rank is overloaded and the answer would miss
+    /// its target; DeadlineUnreachable if the work ahead of it and the measured service
     /// time of its kind leave no time to answer before its deadline.
     Result<void> offer(Ticket ticket, TimePoint now);
 
@@ -90,18 +92,23 @@
 
     AdmissionQueue() = default;
     SlotLoad slotLoad(TimePoint now) const;
-    Duration lateness(const QueuedTicket &queued, TimePoint now) const;
-    bool makeTime(const QueuedTicket &queued, TimePoint now);
+    TimePoint expectedAnswer(const QueuedTicket &queued, TimePoint now) const;
+    Duration targetOf(std::size_t rank) const;
+    bool isHeldToTarget(std::size_t rank, TimePoint now) const;
+    Result<void> makeTime(const QueuedTicket &queued, TimePoint now);
+    bool displaceLessWorthy(const QueuedTicket &queued, Duration late, TimePoint now);
     bool makePlace(const QueuedTicket &queued, TimePoint now);
     void insert(QueuedTicket queued, TimePoint now);
     void drop(std::uint64_t id, ErrorKind kind, TimePoint now);
     void dropExpired(TimePoint now);
+    void recordOverload(const QueuedTicket &queued, TimePoint now);
     static Expiry expiryOf(const QueuedTicket &queued);
 
     AdmissionPolicy policy_;
     int slots_ = 1;
     std::size_t maxQueued_ = 1;
-    std::vector<RankShare> ranks_; ///< At least one.
+    std::vector<RankShare> ranks_;        ///< At least one.
+    std::vector<OverloadMark> overloads_; ///< One for each rank, also of earlier rules.
     ServiceTimes serviceTimes_;
     QueuedTickets queued_;      ///< At most maxQueued_; the policy holds the same tickets.
     std::set<Expiry> expiries_; ///< One for each queued ticket.
--- a/packages/qz_admission/queue/ticket.h
+++ b/packages/qz_admission/queue/ticket.h
@@ -36,7 +36,8 @@
 {
     Ticket ticket_;
     std::uint64_t sequence_ = 0; ///< Rises with each offer.
-    Duration expected_{};        ///< Expected time in a slot, as estimated at the offer.
+    TimePoint offeredAt_;
+    Duration expected_{}; ///< Expected time in a slot, as estimated at the offer.
 };
 
 /// A ticket that left the queue without a slot.
