Let a digest's wait halve with each second instead of ending at its age

Cause: the wait that a digest told was lowered by the digest's age, as if no work came after it. Entries hear of the other region's gates by gossip every 500 ms only, so a flooded gate there looked empty a moment later, and requests crossed the link for nothing. The wait now halves with each second of age.

The test of an old digest is replaced by one that checks both sides: still trusted after half a second, not after three.

--- a/packages/qz_entries/choice/servercandidate.h
+++ b/packages/qz_entries/choice/servercandidate.h
@@ -38,8 +38,8 @@
     Duration expectedService_{}; ///< Expected time in a slot.
 };
 
-/// The wait for a slot at @p candidate in @p rank. What an old digest told is taken to have
-/// shrunk by its age; where nothing is known, none.
+/// The wait for a slot at @p candidate in @p rank. What a digest told counts for less the older
+/// it is; where nothing is known, the wait is zero.
 Duration expectedWait(const ServerCandidate &candidate, std::size_t rank);
 
 /// The time until an answer of @p candidate is here.
--- a/packages/qz_entries/choice/weighteddraw.cpp
+++ b/packages/qz_entries/choice/weighteddraw.cpp
@@ -2,9 +2,18 @@
 #include "qz_entries/choice/weighteddraw.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace qz {
 
+namespace {
+
+/// The time in which half of a wait that a digest told is taken to be gone. Queues under load
+/// stay about as long as they are; a queue of which nothing is heard is tried again in the end.
+constexpr std::chrono::duration<double> digestHalfLife = std::chrono::seconds(1);
+
+} // namespace
+
 Duration expectedWait(const ServerCandidate &candidate, std::size_t rank)
 {
     if (!candidate.digest_ || candidate.digest_->waitByRank_.empty()) {
@@ -12,7 +21,10 @@
     }
     const QueueDigest &digest = *candidate.digest_;
     const std::size_t known = std::min(rank, digest.waitByRank_.size() - 1);
-    return std::max(Duration{}, digest.waitByRank_[known] - digest.age_);
+    const std::chrono::duration<double> age = digest.age_;
+    const double kept = std::exp2(-age / digestHalfLife);
+    const auto wait = static_cast<double>(digest.waitByRank_[known].count());
+    return Duration(static_cast<Duration::rep>(wait * kept));
 }
 
 Duration expectedAnswer(const ServerCandidate &candidate, const ServerRequest &request)
--- a/packages/qz_entries/tests/serverchoosertest.cpp
+++ b/packages/qz_entries/tests/serverchoosertest.cpp
@@ -132,10 +132,11 @@
 BOOST_AUTO_TEST_CASE(anOldDigestIsTrustedLess)
 {
     auto old = makeCandidate("old", alexA, milliseconds(100));
-    old.digest_->age_ = milliseconds(95);
-    const auto counts = countChoices(qz::PowerOfTwoChoice(),
-                                     { old, makeCandidate("new", alexA, milliseconds(20)) });
-    BOOST_TEST(counts.at("old") == 3000);
+    const auto recent = makeCandidate("recent", alexA, milliseconds(20));
+    old.digest_->age_ = milliseconds(500);
+    BOOST_TEST(countChoices(qz::PowerOfTwoChoice(), { old, recent }).at("recent") == 3000);
+    old.digest_->age_ = milliseconds(3000);
+    BOOST_TEST(countChoices(qz::PowerOfTwoChoice(), { old, recent }).at("old") == 3000);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
