Keep the vote away from instances that are just being cut off

A publication keeps the voters of the head before, and a renewal waits until the members have been others for longer than the in-force limit and still hears a majority. Before, once members followed the cuts, a group of ten with the table took the vote of 32 over in a renewal: safe, but nothing could be published until the cut was healed.

--- a/packages/qz_rules/model/rulesparser.h
+++ b/packages/qz_rules/model/rulesparser.h
@@ -8,8 +8,10 @@
 #include <nlohmann/json.hpp>
 
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_set>
 #include <vector>
 
@@ -43,6 +45,18 @@
         ReadElement read_;
     };
 
+    /// What routes can put on work.
+    struct MethodLabels
+    {
+        std::string method_;
+        Labels labels_;
+
+        friend bool operator<(const MethodLabels &a, const MethodLabels &b)
+        {
+            return std::tie(a.method_, a.labels_) < std::tie(b.method_, b.labels_);
+        }
+    };
+
     void readDocument(const nlohmann::json &document);
     void readSection(const nlohmann::json &document, const Section &section);
     void readRank(ObjectReader &reader);
@@ -61,7 +75,7 @@
     ProblemList problems_;
     std::unordered_set<std::string> names_; ///< Of the section that is being read.
     std::vector<std::string> rankOfKind_;   ///< As named, one for each kind.
-    std::vector<Route> methodRoutes_;       ///< The distinct sets of method and labels.
+    std::set<MethodLabels> methodRoutes_;
 };
 
 } // namespace qz
--- a/packages/qz_rules/spread/ruleskeeper.cpp
+++ b/packages/qz_rules/spread/ruleskeeper.cpp
@@ -47,6 +47,11 @@
 {
     ledger_.take(self_, digest(), now);
     confirm();
+    if (pollerRank_ != 0 || !known_.isSet() || areVotersSuited()) {
+        unsuitedSince_.reset();
+    } else if (!unsuitedSince_) {
+        unsuitedSince_ = now;
+    }
 }
 
 void RulesKeeper::setMembers(std::vector<VoterId> members)
@@ -173,7 +178,16 @@
 
 bool RulesKeeper::canPublish(TimePoint now) const
 {
-    return !isBehind() && isEstablished() && (!known_.isSet() || isInForce(now));
+    if (!known_.isSet()) {
+        return true;
+    }
+    return !isBehind() && isEstablished()
+            && ledger_.isReached(known_.voters_, now - settings_.inForceLimit_);
+}
+
+std::vector<VoterId> RulesKeeper::votersToPublish() const
+{
+    return known_.isSet() ? known_.voters_ : chooseVoters();
 }
 
 std::vector<VoterId> RulesKeeper::chooseVoters() const
@@ -194,16 +208,8 @@
 {
     const auto age = tableAge(now);
     const bool isFresh = age && *age < settings_.inForceLimit_;
-    if (pollerRank_ != 0 || !known_.isSet() || !isFresh || !canPublish(now)
-        || !isPast(renewedAt_, settings_.renewAfter_, now)
-        || now - startedAt_ < settings_.renewAfter_) {
-        return false;
-    }
-    std::vector<VoterId> wanted = chooseVoters();
-    std::vector<VoterId> present = known_.voters_;
-    std::sort(wanted.begin(), wanted.end());
-    std::sort(present.begin(), present.end());
-    return wanted != present;
+    return unsuitedSince_ && now - *unsuitedSince_ >= settings_.renewAfter_ && isFresh
+            && canPublish(now);
 }
 
 std::optional<Duration> RulesKeeper::confirmationAge(TimePoint now) const
@@ -253,6 +259,15 @@
     return isBehind() ? adopted_->head_.stamp_ : known_.stamp_;
 }
 
+bool RulesKeeper::areVotersSuited() const
+{
+    std::vector<VoterId> wanted = chooseVoters();
+    std::vector<VoterId> present = known_.voters_;
+    std::sort(wanted.begin(), wanted.end());
+    std::sort(present.begin(), present.end());
+    return wanted == present;
+}
+
 std::size_t RulesKeeper::pollersAllowed(TimePoint now) const
 {
     const Duration silence = now - tableAsOf_.value_or(startedAt_);
--- a/packages/qz_rules/spread/ruleskeeper.h
+++ b/packages/qz_rules/spread/ruleskeeper.h
@@ -21,7 +21,8 @@
     Duration escalateAfter_ = std::chrono::seconds(3); ///< Doubles the pollers, see isPollDue().
     Duration silentAfter_ = std::chrono::seconds(2);   ///< Without an answer from any peer.
     Duration goneAfter_ = std::chrono::seconds(60);    ///< Unlisted for so long: gone.
-    Duration renewAfter_ = std::chrono::seconds(10);   ///< Between renewals of the voters.
+    /// Members have to be others than the voters for so long; above inForceLimit_.
+    Duration renewAfter_ = std::chrono::seconds(10);
     std::size_t pollerCount_ = 3;
     std::size_t pollerLimit_ = 32;
     std::size_t voterLimit_ = 31;
@@ -97,13 +98,18 @@
 
     /// Whether the known head counts as accepted.
     bool isEstablished() const;
-    /// Whether a new head may be written on top of the known one.
+    /// Whether a new head may be written on top of the known one: that one is established, and
+    /// a majority of its voters has been heard within the in-force limit.
     bool canPublish(TimePoint now) const;
-    /// The voters that a new head should name.
+    /// The voters of a new version: those of the known head, so that a change of rules by an
+    /// instance that is just being cut off does not hand the vote to its side.
+    std::vector<VoterId> votersToPublish() const;
+    /// The voters that the members of now call for.
     std::vector<VoterId> chooseVoters() const;
-    /// Whether this instance should write the head again with other voters.
+    /// Whether this instance should write the head again with chooseVoters(): they have been
+    /// others for a while that is longer than the in-force limit.
     bool isRenewalDue(TimePoint now) const;
-    void noteRenewal(TimePoint now) { renewedAt_ = now; }
+    void noteRenewal(TimePoint now) { unsuitedSince_ = now; }
 
     /// How long ago the adopted version was last confirmed; none if never.
     std::optional<Duration> confirmationAge(TimePoint now) const;
@@ -114,6 +120,7 @@
     void learn(const RulesHead &head);
     void confirm();
     RulesStamp adoptedStamp() const;
+    bool areVotersSuited() const;
     std::size_t pollersAllowed(TimePoint now) const;
 
     VoterId self_;
@@ -130,7 +137,7 @@
     std::optional<TimePoint> confirmedAt_;
     std::optional<TimePoint> heardAt_; ///< The sending time of the last answered request.
     std::optional<TimePoint> polledAt_;
-    std::optional<TimePoint> renewedAt_;
+    std::optional<TimePoint> unsuitedSince_; ///< chooseVoters() differs from the known voters.
 };
 
 } // namespace qz
--- a/packages/qz_rules/spread/rulesservice.cpp
+++ b/packages/qz_rules/spread/rulesservice.cpp
@@ -110,7 +110,7 @@
     publication.author_ = std::move(order.author_);
     publication.attemptToken_ = std::move(order.attemptToken_);
     publication.base_ = known.stamp_;
-    publication.voters_ = keeper_.chooseVoters();
+    publication.voters_ = keeper_.votersToPublish();
     const auto adopted = keeper_.adopted();
     if (adopted != nullptr && isBase && adopted->head_.hash_ == known.hash_) {
         publication.stored_ = adopted->document_->objects();
--- a/packages/qz_rules/spread/voterledger.cpp
+++ b/packages/qz_rules/spread/voterledger.cpp
@@ -100,6 +100,16 @@
     return static_cast<std::size_t>(holders) >= majorityOf(voters.size());
 }
 
+bool VoterLedger::isReached(const std::vector<VoterId> &voters, TimePoint since) const
+{
+    const auto reached = std::count_if(voters.begin(), voters.end(), [&](const VoterId &voter) {
+        const auto statement = statements_.find(voter);
+        return (statement != statements_.end() && since <= statement->second.asOf_)
+                || isGone(voter);
+    });
+    return static_cast<std::size_t>(reached) >= majorityOf(voters.size());
+}
+
 std::vector<RulesVoucher> VoterLedger::vouchers(TimePoint now) const
 {
     std::vector<RulesVoucher> vouchers;
--- a/packages/qz_rules/spread/voterledger.h
+++ b/packages/qz_rules/spread/voterledger.h
@@ -47,6 +47,9 @@
     /// Whether a majority of @p voters holds @p head or a later one, or is gone.
     bool isHeld(const std::vector<VoterId> &voters, const RulesStamp &head) const;
 
+    /// Whether a majority of @p voters has been heard as of @p since or later, or is gone.
+    bool isReached(const std::vector<VoterId> &voters, TimePoint since) const;
+
     /// Statements about the roster as of @p now, for a peer.
     std::vector<RulesVoucher> vouchers(TimePoint now) const;
 
