--- a/packages/qz_rules/qz_rules.h
+++ b/packages/qz_rules/qz_rules.h
@@ -6,6 +6,8 @@
 
 #include "qz_rules/model/ruleset.h"
 #include "qz_rules/model/selector.h"
+#include "qz_rules/model/fieldlocator.h"
+#include "qz_rules/operators/rulesoperations.h"
 #include "qz_rules/spread/ruleskeeper.h"
 #include "qz_rules/spread/rulesservice.h"
 #include "qz_rules/store/rulesstore.h"
