--- a/packages/qz_fleet/membership/membership.cpp
+++ b/packages/qz_fleet/membership/membership.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t accusersToConfirm = 2;
 /// Each neighbour, before and after on each ring, is told of news twice.
 constexpr int transmissionsPerRing = 4;
-constexpr Duration cleaningPeriod = std::chrono::seconds(1);
+constexpr Duration cleaningPeriod = std::chrono::seconds(10);
 
 MemberUpdate toUpdate(const Member &member)
 {
--- a/packages/qz_fleet/membership/membertable.cpp
+++ b/packages/qz_fleet/membership/membertable.cpp
@@ -207,20 +207,6 @@
     return peers;
 }
 
-std::uint64_t MemberTable::digest() const
-{
-    if (!digest_) {
-        std::uint64_t digest = self_.isDead() ? 0 : hashOf(self_);
-        for (const auto &[id, record] : records_) {
-            if (record.update_.isHeard() && !record.update_.isDead()) {
-                digest ^= hashOf(record.update_);
-            }
-        }
-        digest_ = digest;
-    }
-    return *digest_;
-}
-
 std::vector<MemberChange> MemberTable::takeChanges()
 {
     std::vector<MemberChange> changes;
@@ -284,10 +270,17 @@
     record.update_.location_ = listed.location_;
 }
 
+/// To be called after each change of what is known of @p member.
 void MemberTable::touch(const InstanceId &member)
 {
     touched_.insert(member);
-    digest_.reset();
+    const auto entry = records_.find(member);
+    const bool isSelf = member == self_.id_;
+    const MemberUpdate &update = isSelf ? self_ : entry->second.update_;
+    std::uint64_t &hash = isSelf ? selfHash_ : entry->second.hash_;
+    digest_ ^= hash;
+    hash = update.isHeard() && !update.isDead() ? hashOf(update) : 0;
+    digest_ ^= hash;
 }
 
 std::optional<Member> MemberTable::effective(const InstanceId &member) const
--- a/packages/qz_fleet/membership/membertable.h
+++ b/packages/qz_fleet/membership/membertable.h
@@ -66,7 +66,7 @@
     std::vector<Peer> peers() const;
 
     /// Equal on two instances that know the same of the same members.
-    std::uint64_t digest() const;
+    std::uint64_t digest() const { return digest_; }
 
     /// Changes since the last call.
     std::vector<MemberChange> takeChanges();
@@ -81,6 +81,7 @@
         bool isListed_ = false;
         bool isListedLeaving_ = false;   ///< Only if isListed_.
         TimePoint deadSince_;            ///< Only meaningful for a dead member.
+        std::uint64_t hash_ = 0;         ///< What it adds to digest_.
         std::optional<Member> reported_; ///< As takeChanges() last told it; empty if gone.
     };
     using Records = std::map<InstanceId, Record>;
@@ -99,7 +100,8 @@
     Records records_;              ///< Never holds this instance; at most maxMembers.
     InstanceId turn_;              ///< Where nextInTurn() goes on.
     std::set<InstanceId> touched_; ///< Since the last takeChanges().
-    mutable std::optional<std::uint64_t> digest_; ///< Empty after a change.
+    std::uint64_t selfHash_ = 0;
+    std::uint64_t digest_ = 0; ///< The exclusive or of selfHash_ and all hash_ of records_.
 };
 
 } // namespace qz
--- a/packages/qz_fleet/tests/fleetexchange.h
+++ b/packages/qz_fleet/tests/fleetexchange.h
@@ -74,6 +74,37 @@
                                      .build();
     }
 
+    /// What a node sends, on average, in a second.
+    struct Cost
+    {
+        double messages_ = 0;
+        double bytes_ = 0;
+    };
+
+    Cost measure(Duration time)
+    {
+        const auto [messagesBefore, bytesBefore] = sentByAll();
+        run(time);
+        const auto [messages, bytes] = sentByAll();
+        const double nodeSeconds =
+                std::chrono::duration<double>(time).count() * static_cast<double>(nodes_.size());
+        return Cost{ static_cast<double>(messages - messagesBefore) / nodeSeconds,
+                     static_cast<double>(bytes - bytesBefore) / nodeSeconds };
+    }
+
+    /// Lets each node know every other one's own word, as after a long time together.
+    void introduceAll()
+    {
+        GossipMessage message;
+        message.setKind(GossipKind::Ack);
+        for (std::size_t from = 0; from < nodes_.size(); ++from) {
+            message.sender_ = words_.at(node(from).id_);
+            for (std::size_t to = 0; to < nodes_.size(); ++to) {
+                node(to).membership_->receive(node(from).id_, message, now());
+            }
+        }
+    }
+
     void kill(std::size_t index) { node(index).membership_.reset(); }
 
     void giveList(std::size_t index, const InstanceListing &listing)
@@ -193,8 +224,19 @@
         return listed;
     }
 
+    std::pair<std::uint64_t, std::uint64_t> sentByAll() const
+    {
+        std::pair<std::uint64_t, std::uint64_t> sum;
+        for (const auto &node : nodes_) {
+            sum.first += node->messagesSent_;
+            sum.second += node->bytesSent_;
+        }
+        return sum;
+    }
+
     void sendOne(std::size_t from, const OutgoingGossip &gossip)
     {
+        words_[node(from).id_] = gossip.message_.sender_;
         const std::string payload = packMessage(gossip.message_);
         ++node(from).messagesSent_;
         node(from).bytesSent_ += encodeFrame(MessageKind::MembershipGossip, payload).size();
@@ -232,6 +274,7 @@
     std::mt19937_64 random_;
     std::vector<std::unique_ptr<Node>> nodes_;
     std::map<InstanceId, std::size_t> indexes_;
+    std::map<InstanceId, MemberUpdate> words_; ///< What each node last said of itself.
     std::multimap<TimePoint, Packet> packets_;
     double loss_ = 0;
     Cut cut_;
--- /dev/null
+++ b/packages/qz_fleet/tests/linknode.h
@@ -0,0 +1,65 @@
+// One instance's links in a test, with what it received and lost.
+#pragma once
+
+#include "qz_fleet/links/peerlinks.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace qz {
+
+inline LinkLimits quickLimits()
+{
+    using std::chrono::milliseconds;
+    LinkLimits limits;
+    limits.connectLimit_ = milliseconds(300);
+    limits.handshakeLimit_ = milliseconds(500);
+    limits.heartbeatPeriod_ = milliseconds(100);
+    limits.idleHeartbeatPeriod_ = milliseconds(200);
+    limits.heartbeatLimit_ = milliseconds(300);
+    limits.minBackoff_ = milliseconds(50);
+    return limits;
+}
+
+/// Links on loopback; messages of the kind ExecuteRequest are kept as "sender:payload".
+struct LinkNode
+{
+    LinkNode(EventLoop &loop, const std::string &name, const std::string &key = "fleet key",
+             std::uint16_t port = 0)
+        : id_(name)
+    {
+        links_ = PeerLinks::Builder()
+                         .setLoop(loop)
+                         .setSelf(id_, name + "-1")
+                         .setListenEndpoint({ "127.0.0.1", port })
+                         .setFleetKey(key)
+                         .setLimits(quickLimits())
+                         .build();
+        const auto keep = [this](const InstanceId &from, std::string_view payload) {
+            received_.emplace_back(from.value() + ":" + std::string(payload));
+        };
+        links_->setHandler(MessageKind::ExecuteRequest, keep);
+        links_->setLinkLostHandler([this](const InstanceId &peer) { lost_.push_back(peer); });
+        links_->setUnsentHandler(
+                [this](const InstanceId &, MessageKind, std::string_view) { ++unsent_; });
+        BOOST_REQUIRE(links_->start().has_value());
+    }
+
+    Peer peer() const { return { id_, links_->listenEndpoint() }; }
+
+    bool send(const InstanceId &to, const std::string &payload)
+    {
+        return links_->send(to, MessageKind::ExecuteRequest, payload).has_value();
+    }
+
+    InstanceId id_;
+    std::unique_ptr<PeerLinks> links_;
+    std::vector<std::string> received_;
+    std::vector<InstanceId> lost_;
+    int unsent_ = 0;
+};
+
+} // namespace qz
