--- a/apps/quetzaldaled/drainsequence.cpp
+++ b/apps/quetzaldaled/drainsequence.cpp
@@ -1,6 +1,7 @@
 // The planned stop of a daemon.
 #include "quetzaldaled/drainsequence.h"
 
+#include "qz_core/faults/faultpoint.h"
 #include "qz_core/logging/logger.h"
 
 #include <utility>
@@ -29,6 +30,10 @@
     startedAt_ = loop_.now();
     log(LogLevel::Info, "drain-started");
     steps_.leave_();
+    if (isFaultInjected(FaultPoint::DrainSkipped)) {
+        end(0);
+        return;
+    }
     gateTimer_ = loop_.callAfter(times_.gateGrace_, [this] { steps_.closeGates_(); });
     entryTimer_ = loop_.callAfter(times_.entryGrace_, [this] { closeEntry(); });
 }
--- a/apps/quetzaldaled/rulesduty.cpp
+++ b/apps/quetzaldaled/rulesduty.cpp
@@ -197,7 +197,7 @@
 {
     const RulesStatus status = service_->status();
     return { { "instance", parts_.view_.self().id_.value() },
-             { "rules_version", status.digest_.adopted_.version_ },
+             { "rules_version", parts_.view_.rulesVersion() },
              { "known_version", status.digest_.known_.version_ },
              { "hash", status.hash_ },
              { "author", status.author_ },
--- a/packages/qz_core/qz_core.h
+++ b/packages/qz_core/qz_core.h
@@ -6,6 +6,7 @@
 
 #include "qz_core/errors/error.h"
 #include "qz_core/errors/errorkind.h"
+#include "qz_core/faults/faultpoint.h"
 #include "qz_core/hashing/rendezvous.h"
 #include "qz_core/ids/ids.h"
 #include "qz_core/ids/randomid.h"
--- a/packages/qz_gates/directory/backenddirectory.cpp
+++ b/packages/qz_gates/directory/backenddirectory.cpp
@@ -1,6 +1,8 @@
 // The directory of backend servers.
 #include "qz_gates/directory/backenddirectory.h"
 
+#include "qz_core/faults/faultpoint.h"
+
 #include <cassert>
 #include <utility>
 
@@ -10,7 +12,8 @@
 {
     const auto drain = labels_.find(label::drain);
     const bool isDrained = drain != labels_.end() && drain->second == "true";
-    return isDrained || listed_.state_ == ListedState::Leaving;
+    const bool isLeaving = isDrained || listed_.state_ == ListedState::Leaving;
+    return isLeaving && !isFaultInjected(FaultPoint::LeavingIgnored);
 }
 
 void BackendDirectory::setRules(std::shared_ptr<const RuleSet> rules)
--- a/packages/qz_http/client/httpconnection.cpp
+++ b/packages/qz_http/client/httpconnection.cpp
@@ -1,6 +1,8 @@
 // A client connection on evhttp.
 #include "qz_http/client/httpconnection.h"
 
+#include "qz_core/faults/faultpoint.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -234,7 +236,8 @@
 
 Error HttpConnection::connectionError(ErrorKind kindOnceHandedOver, const std::string &what) const
 {
-    const ErrorKind kind = isHandedOver_ ? kindOnceHandedOver : ErrorKind::BackendConnectFailed;
+    const bool mayHaveRun = isHandedOver_ && !isFaultInjected(FaultPoint::NotRunGuessed);
+    const ErrorKind kind = mayHaveRun ? kindOnceHandedOver : ErrorKind::BackendConnectFailed;
     return failure(kind, what + " (" + toString(server_) + ")");
 }
 
--- a/packages/qz_proxy/dispatch/gatedispatcher.cpp
+++ b/packages/qz_proxy/dispatch/gatedispatcher.cpp
@@ -1,8 +1,10 @@
 // Requests between entries and gates.
 #include "qz_proxy/dispatch/gatedispatcher.h"
 
+#include "qz_core/faults/faultpoint.h"
 #include "qz_core/logging/logger.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -99,7 +101,11 @@
         log(LogLevel::Error, "execute-answer-malformed", { { "from", from.value() } });
         return;
     }
-    const auto found = pending_.find(answer.value().requestId_);
+    auto found = pending_.find(answer.value().requestId_);
+    if (isFaultInjected(FaultPoint::AnswerUnmatched)) {
+        found = std::find_if(pending_.begin(), pending_.end(),
+                             [&](const auto &entry) { return entry.second.gate_ == from; });
+    }
     if (found == pending_.end() || found->second.gate_ != from) {
         return; // Too late, or not from whom it was asked.
     }
--- a/packages/qz_proxy/entry/requestrun.cpp
+++ b/packages/qz_proxy/entry/requestrun.cpp
@@ -1,6 +1,7 @@
 // One caller's request from its arrival to its answer.
 #include "qz_proxy/entry/requestrun.h"
 
+#include "qz_core/faults/faultpoint.h"
 #include "qz_core/ids/randomid.h"
 #include "qz_core/logging/logger.h"
 #include "qz_proxy/entry/callerreply.h"
@@ -79,7 +80,7 @@
     if (!classify()) {
         return;
     }
-    if (kind_->repeatable_) {
+    if (kind_->repeatable_ || isFaultInjected(FaultPoint::ClaimSkipped)) {
         tryNext();
     } else {
         claim();
--- a/packages/qz_proxy/view/workingview.cpp
+++ b/packages/qz_proxy/view/workingview.cpp
@@ -1,6 +1,8 @@
 // What this instance works by at the moment.
 #include "qz_proxy/view/workingview.h"
 
+#include "qz_core/faults/faultpoint.h"
+
 #include <utility>
 
 namespace qz {
@@ -13,7 +15,8 @@
 
 void WorkingView::adoptRules(RulesVersion version, std::shared_ptr<const RuleSet> rules)
 {
-    if (version <= version_) {
+    const bool isFrozen = rules_ != nullptr && isFaultInjected(FaultPoint::RulesFrozen);
+    if (version <= version_ || isFrozen) {
         return;
     }
     version_ = version;
--- a/tests/testbed/backendstandin.cpp
+++ b/tests/testbed/backendstandin.cpp
@@ -41,7 +41,7 @@
 std::string BackendStandIn::answerBody(const std::string &name, const std::string &target)
 {
     std::string body = name + " " + target + "\n";
-    while (body.size() < answerBytes) {
+    while (!name.empty() && body.size() < answerBytes) {
         body += name;
     }
     return body;
--- a/tests/testbed/caller.cpp
+++ b/tests/testbed/caller.cpp
@@ -13,7 +13,7 @@
 
 constexpr Duration answerLimit = std::chrono::seconds(15);
 constexpr Duration addressLimit = std::chrono::seconds(2);
-constexpr Duration refreshPeriod = std::chrono::seconds(5);
+constexpr Duration refreshPeriod = std::chrono::milliseconds(400);
 
 } // namespace
 
@@ -30,6 +30,7 @@
 {
     refreshAddresses();
     refresh_ = loop_.callEvery(refreshPeriod, [this] { refreshAddresses(); });
+    dueAt_ = loop_.now();
     scheduleNext();
 }
 
@@ -42,7 +43,8 @@
     }
     std::exponential_distribution<> gap(plan_.requestsPerSecond_ * factor);
     const auto delay = std::chrono::duration<double>(gap(random_));
-    next_ = loop_.callAfter(std::chrono::duration_cast<Duration>(delay), [this] {
+    dueAt_ += std::chrono::duration_cast<Duration>(delay);
+    next_ = loop_.callAfter(std::max(dueAt_ - loop_.now(), Duration::zero()), [this] {
         sendOne();
         scheduleNext();
     });
@@ -63,12 +65,20 @@
 {
     Sent sent;
     sent.kind_ = &drawKind();
-    sent.name_ = "r" + std::to_string(plan_.seed_) + "-" + std::to_string(++lastNumber_);
+    sent.key_ = "r" + std::to_string(plan_.seed_) + "-" + std::to_string(++lastNumber_);
+    sent.name_ = sent.key_;
     sent.target_ = sent.kind_->path_ + "/" + std::to_string(lastNumber_);
     sent.at_ = loop_.now();
     ++tallies_[sent.kind_->rank_].sent_;
     ++open_;
     send(sent, 0);
+    const bool isDoubled = std::uniform_real_distribution<>(0, 1)(random_) < plan_.duplicateShare_;
+    if (!sent.kind_->isRepeatable_ && isDoubled && addresses_.size() > 1) {
+        sent.name_ += "-again";
+        ++tallies_[sent.kind_->rank_].sent_;
+        ++open_;
+        send(sent, 1);
+    }
 }
 
 void Caller::send(const Sent &sent, std::size_t addressIndex)
@@ -79,7 +89,7 @@
     request.headers_.add("Quetzaldale-Workspace", plan_.deployment_.name_);
     request.headers_.add("X-Bench-Name", sent.name_);
     if (!sent.kind_->isRepeatable_) {
-        request.headers_.add("Idempotency-Key", sent.name_);
+        request.headers_.add("Idempotency-Key", sent.key_);
         request.body_ = "body of " + sent.name_;
     }
     HttpClientPool &pool = poolFor(addresses_[addressIndex]);
--- a/tests/testbed/caller.h
+++ b/tests/testbed/caller.h
@@ -49,6 +49,7 @@
         double requestsPerSecond_ = 10;
         std::uint64_t seed_ = 1;
         std::map<std::string, double> floodFactors_; ///< By kind: its load is multiplied.
+        double duplicateShare_ = 0; ///< Of non-repeatable requests sent to two instances at once.
     };
 
     Caller(EventLoop &loop, Plan plan, const ExecutionLedger &ledger);
@@ -67,7 +68,8 @@
 private:
     struct Sent
     {
-        std::string name_;
+        std::string name_; ///< Of this try of the caller.
+        std::string key_;  ///< Of the order; two tries of it share the key.
         const PlannedKind *kind_;
         std::string target_;
         TimePoint at_;
@@ -89,6 +91,7 @@
     std::mt19937_64 random_;
     std::vector<Endpoint> addresses_;
     std::map<Endpoint, std::unique_ptr<HttpClientPool>> pools_;
+    TimePoint dueAt_; ///< When the next request is due, however late the loop is.
     Timers::HandlePtr next_;
     Timers::HandlePtr refresh_;
     std::size_t open_ = 0;
--- a/tests/testbed/quetzaltestbed.cpp
+++ b/tests/testbed/quetzaltestbed.cpp
@@ -1,4 +1,5 @@
 // Runs a fleet of separate daemons between stand-ins: the demonstration of tools/demo.
+#include "testbed/proofs.h"
 #include "testbed/testbed.h"
 
 #include <docopt/docopt.h>
@@ -18,6 +19,8 @@
 Usage:
   quetzaltestbed demo --daemon=PATH [--instances=N] [--seconds=S] [--rate=R]
                       [--deployment=NAME] [--seed=N] [--logs=DIR] [--check]
+  quetzaltestbed prove --daemon=PATH --faulty-daemon=PATH [--promise=NAME] [--seeds=N]
+                      [--instances=N] [--seed=N] [--logs=DIR]
 
 Options:
   --daemon=PATH      the program quetzaldaled
@@ -27,6 +30,9 @@
   --deployment=NAME  nakhla or red-andina [default: nakhla]
   --seed=N           of all random choices [default: 1]
   --logs=DIR         where the daemons' logs go [default: build/demo-logs]
+  --faulty-daemon=PATH  the test build, in which a rule can be broken
+  --promise=NAME     one promise only; none: the fault pairs only
+  --seeds=N          how many fleets with two random faults each [default: 0]
   --check            end with 0 only if each request got its own whole answer
 )";
 
@@ -107,10 +113,24 @@
     return isGood || !options["--check"].asBool() ? 0 : 1;
 }
 
+int runProve(std::map<std::string, docopt::value> &options)
+{
+    qz::testing::ProofContext context;
+    context.daemon_ = options["--daemon"].asString();
+    context.faultyDaemon_ = options["--faulty-daemon"].asString();
+    context.logs_ = options["--logs"].asString();
+    context.seed_ = static_cast<std::uint64_t>(options["--seed"].asLong());
+    const std::string promise =
+            options["--promise"].isString() ? options["--promise"].asString() : "";
+    const int seeds = static_cast<int>(options["--seeds"].asLong());
+    const int instances = static_cast<int>(options["--instances"].asLong());
+    return qz::testing::runProofs(context, promise, seeds, instances) ? 0 : 1;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     auto options = docopt::docopt(usage, { argv + 1, argv + argc }, true);
-    return runDemo(options);
+    return options["prove"].asBool() ? runProve(options) : runDemo(options);
 }
--- a/tests/testbed/testbed.cpp
+++ b/tests/testbed/testbed.cpp
@@ -5,6 +5,9 @@
 
 #include <algorithm>
 #include <filesystem>
+#include <stdexcept>
+
+#include <unistd.h>
 
 namespace qz::testing {
 
@@ -17,9 +20,31 @@
 constexpr const char *operatorToken = "testbed-operator-token";
 constexpr Duration callLimit = 3s;
 
+bool isFree(const Endpoint &endpoint)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in address = toAddress(endpoint);
+    const bool isBound =
+            bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
+    evutil_closesocket(descriptor);
+    return isBound;
+}
+
+/// An endpoint that was not given out before. Its port is below those that the system gives
+/// to outgoing connections, so that it stays free until the daemon listens.
 Endpoint findEndpoint()
 {
-    return { "127.0.0.1", findFreePort() };
+    constexpr int lowestPort = 10000;
+    constexpr int portCount = 20000;
+    static int next = (getpid() * 131) % portCount;
+    for (int tries = 0; tries < portCount; ++tries) {
+        next = (next + 1) % portCount;
+        const Endpoint endpoint{ "127.0.0.1", static_cast<std::uint16_t>(lowestPort + next) };
+        if (isFree(endpoint)) {
+            return endpoint;
+        }
+    }
+    throw std::runtime_error("no port is free");
 }
 
 } // namespace
@@ -91,10 +116,13 @@
 void Testbed::startInstance(std::size_t index)
 {
     TestInstance &instance = instances_[index];
-    const std::vector<std::string> environment{
+    std::vector<std::string> environment{
         std::string("QUETZALDALE_FLEET_KEY=") + fleetKey,
         std::string("QUETZALDALE_OPERATOR_TOKEN=") + operatorToken,
     };
+    if (!plan_.faultPoint_.empty()) {
+        environment.push_back("QUETZALDALE_FAULT_POINT=" + plan_.faultPoint_);
+    }
     const std::string output = plan_.logDirectory_ + "/" + instance.id_.value() + ".log";
     instance.process_ = std::make_unique<DaemonProcess>(plan_.daemon_, argumentsFor(instance),
                                                         environment, output);
@@ -132,7 +160,8 @@
                                  seeds,
                                  requestsPerSecond / static_cast<double>(places.size()),
                                  plan_.seed_ * 1000 + callers_.size(),
-                                 floodFactors };
+                                 floodFactors,
+                                 plan_.duplicateShare_ };
         callers_.push_back(std::make_unique<Caller>(loop_, plan, ledger_));
         callers_.back()->start();
     }
--- a/tests/testbed/testbed.h
+++ b/tests/testbed/testbed.h
@@ -37,6 +37,8 @@
         Duration meanServiceTime_ = std::chrono::milliseconds(20);
         std::uint64_t seed_ = 1;
         std::vector<std::string> daemonFlags_; ///< For every daemon.
+        std::string faultPoint_;               ///< For a test build of the daemon; empty: none.
+        double duplicateShare_ = 0; ///< Of non-repeatable requests sent to two instances at once.
     };
 
     explicit Testbed(Plan plan);
