--- a/packages/qz_once/claims/claimclient.cpp
+++ b/packages/qz_once/claims/claimclient.cpp
@@ -87,6 +87,7 @@
     , deadRows_(limits_.settleQueue_)
     , tick_(builder.timers_->callEvery(tickPeriod, [this] { onTick(); }))
 {
+    updater_.refill(limits_.updatesPerSecond_);
 }
 
 void ClaimClient::claim(const WorkspaceId &workspace, const IdempotencyKey &key, Duration keep,
@@ -159,6 +160,7 @@
 
 void ClaimClient::onTick()
 {
+    updater_.refill(limits_.updatesPerSecond_);
     const TimePoint now = clock_.now();
     while (const auto dead = deadRows_.takeDue(now)) {
         updater_.add(ClaimRowUpdate{ dead->rowKey_, dead->token_,
--- a/packages/qz_once/claims/claimrowupdater.cpp
+++ b/packages/qz_once/claims/claimrowupdater.cpp
@@ -20,18 +20,31 @@
         ++droppedCount_;
         return;
     }
-    queue_.push_back(std::move(update));
+    if (update.newRow_ && update.newRow_->state_ == ClaimState::Released) {
+        queue_.push_front(std::move(update));
+    } else {
+        queue_.push_back(std::move(update));
+    }
     startNext();
 }
 
+void ClaimRowUpdater::refill(std::size_t count)
+{
+    allowed_ = count;
+    for (std::size_t i = 0; i < inFlightLimit_; ++i) {
+        startNext();
+    }
+}
+
 void ClaimRowUpdater::startNext()
 {
-    if (queue_.empty() || inFlight_ >= inFlightLimit_) {
+    if (queue_.empty() || inFlight_ >= inFlightLimit_ || allowed_ == 0) {
         return;
     }
     const ClaimRowUpdate update = std::move(queue_.front());
     queue_.pop_front();
     ++inFlight_;
+    --allowed_;
     if (update.version_ != 0) {
         writeRow(update, update.version_);
     } else {
--- a/packages/qz_once/claims/claimrowupdater.h
+++ b/packages/qz_once/claims/claimrowupdater.h
@@ -25,18 +25,22 @@
 /// effort: a change whose answer is lost is not made again, since nothing relies on it but
 /// how soon a key can be claimed again and how long rows are kept.
 ///
-/// Invariant: at most inFlightLimit changes are under way, so that reads and writes stay
-/// within what claims leave of the table.
+/// Invariant: at most inFlightLimit changes are under way, and no more are started between two
+/// calls of refill() than it allowed, so that reads and writes stay within what claims leave of
+/// the table. Releases go first.
 /// @see ClaimClient
 class ClaimRowUpdater
 {
 public:
-    /// @p queueLimit: changes waiting, more are dropped.
+    /// @p queueLimit: changes waiting, more are dropped. Nothing starts before refill().
     ClaimRowUpdater(Table &table, RowWriter write, std::size_t inFlightLimit,
                     std::size_t queueLimit);
 
     void add(ClaimRowUpdate update);
 
+    /// Allows @p count changes from now on.
+    void refill(std::size_t count);
+
     std::size_t droppedCount() const { return droppedCount_; }
     std::size_t queueLength() const { return queue_.size(); }
 
@@ -52,6 +56,7 @@
     const std::size_t queueLimit_;
     std::deque<ClaimRowUpdate> queue_; ///< At most queueLimit_.
     std::size_t inFlight_ = 0;
+    std::size_t allowed_ = 0;
     std::size_t droppedCount_ = 0;
     std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true); ///< For late answers.
 };
--- a/packages/qz_once/tests/claimclienttest.cpp
+++ b/packages/qz_once/tests/claimclienttest.cpp
@@ -3,6 +3,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 using namespace qz;
 using namespace std::chrono_literals;
 using Fault = FakeTable::Fault;
@@ -103,6 +107,20 @@
     BOOST_TEST(failsWith(answer.value(), ErrorKind::ClaimUndecided));
 }
 
+BOOST_AUTO_TEST_CASE(aRefusalAfterALostWriteIsNotTakenForNoRow)
+{
+    const auto a = makeClient("a");
+    Answer answer;
+    claim(*a, answer);
+    table_.setFault(Fault::LoseCalls);
+    timers_.advance(2ms);
+    table_.setFault(Fault::None);
+    table_.deliver(); // The row is read and absent; the claim is to be written again.
+    table_.setFault(Fault::Down);
+    settle();
+    BOOST_TEST(failsWith(answer.value(), ErrorKind::ClaimUndecided));
+}
+
 BOOST_AUTO_TEST_CASE(aSettledNotRunFreesTheKeyForOneRetry)
 {
     const auto a = makeClient("a");
@@ -195,4 +213,32 @@
     BOOST_TEST(row().has_value());
 }
 
+BOOST_AUTO_TEST_CASE(resultsAreRecordedAtABoundedRateAndReleasesGoFirst)
+{
+    const auto a = makeClient("a");
+    const ClaimLimits limits;
+    std::vector<ClaimGrant> grants;
+    for (std::size_t i = 0; i < 2 * limits.updatesPerSecond_; ++i) {
+        const IdempotencyKey key(std::to_string(i));
+        a->claim(workspace_, key, keep_,
+                 [&](const auto &result) { grants.push_back(result.value()); });
+    }
+    settle();
+    for (const ClaimGrant &grant : grants) {
+        a->settle(grant, &grant == &grants.back() ? ClaimResult::NotRun : ClaimResult::Ran);
+    }
+    settle(100ms);
+    const auto countOf = [&](ClaimState state) {
+        return std::count_if(grants.begin(), grants.end(), [&](const ClaimGrant &grant) {
+            const auto found = table_.peek(claimRowKey(grant.workspace_, grant.key_));
+            return parseClaimRow(found->value_).value().state_ == state;
+        });
+    };
+    const auto allowed = static_cast<long>(limits.updatesPerSecond_);
+    BOOST_TEST(countOf(ClaimState::Released) == 1);
+    BOOST_TEST(countOf(ClaimState::Claimed) == allowed);
+    settle(1s);
+    BOOST_TEST(countOf(ClaimState::Claimed) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/qz_once/tests/claimroutertest.cpp
+++ b/packages/qz_once/tests/claimroutertest.cpp
@@ -5,7 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <functional>
+#include <algorithm>
 #include <vector>
 
 using namespace qz;
@@ -158,6 +158,7 @@
 BOOST_AUTO_TEST_CASE(allInstancesThatSeeTheSameMembersChooseTheSameFewHomes)
 {
     std::vector<InstanceId> members;
+    members.reserve(32);
     for (int i = 0; i < 32; ++i) {
         members.emplace_back("instance-" + std::to_string(i));
     }
