--- /dev/null
+++ b/packages/qz_health/ejection/sicknessreview.cpp
@@ -0,0 +1,102 @@
+#include "qz_health/ejection/sicknessreview.h"
+
+#include <algorithm>
+
+namespace qz {
+
+namespace {
+
+constexpr Duration reportLifetime = std::chrono::seconds(2);
+constexpr Duration opinionLifetime = std::chrono::seconds(3);
+constexpr Duration opinionRequestPeriod = std::chrono::seconds(1);
+constexpr unsigned minTroubledServers = 2; ///< For a gate to be suspected of a cut.
+
+/// Most of the gate's servers are in trouble at once.
+bool isGateSuspect(const GateReport &report)
+{
+    return report.gateTroubled_ >= minTroubledServers
+            && report.gateTroubled_ * 2 > report.gateServers_;
+}
+
+bool contradicts(const SecondOpinion &opinion, const GateReport &report)
+{
+    if (std::holds_alternative<Unreachable>(report.verdict_.state_)) {
+        return opinion.reachable_;
+    }
+    return report.probesBad_ && opinion.probeGood_;
+}
+
+} // namespace
+
+void SicknessReview::takeReport(const GateReport &report, TimePoint now)
+{
+    Case &entry = cases_[report.server_];
+    if (entry.report_.gate_ != report.gate_) {
+        entry.opinion_.reset();
+    }
+    entry.report_ = report;
+    entry.reportedAt_ = now;
+}
+
+void SicknessReview::takeOpinion(const SecondOpinion &opinion, TimePoint now)
+{
+    const auto entry = cases_.find(opinion.server_);
+    if (entry == cases_.end() || opinion.domain_ == entry->second.report_.gateDomain_) {
+        return;
+    }
+    entry->second.opinion_ = opinion;
+    entry->second.opinionAt_ = now;
+}
+
+ReviewResult SicknessReview::review(TimePoint now)
+{
+    ReviewResult result;
+    for (auto &[server, entry] : cases_) {
+        switch (judge(entry, now)) {
+        case Finding::Nothing:
+            break;
+        case Finding::NeedsOpinion:
+            if (!entry.askedAt_ || now - *entry.askedAt_ >= opinionRequestPeriod) {
+                entry.askedAt_ = now;
+                result.opinionRequests_.push_back({ server, entry.report_.gateDomain_ });
+            }
+            break;
+        case Finding::GateInTrouble:
+            result.gateMoves_.push_back({ server, entry.report_.gate_ });
+            break;
+        case Finding::Candidate:
+            result.candidates_.push_back({ server, entry.report_.verdict_.confidence_ });
+            break;
+        }
+    }
+    std::stable_sort(result.candidates_.begin(), result.candidates_.end(),
+                     [](const auto &a, const auto &b) { return a.severity_ > b.severity_; });
+    return result;
+}
+
+double SicknessReview::severityOf(const BackendServerId &server, TimePoint now) const
+{
+    const auto entry = cases_.find(server);
+    if (entry == cases_.end() || now - entry->second.reportedAt_ > reportLifetime) {
+        return 0;
+    }
+    const Verdict &verdict = entry->second.report_.verdict_;
+    return verdict.isSick() ? verdict.confidence_ : 0;
+}
+
+SicknessReview::Finding SicknessReview::judge(const Case &entry, TimePoint now)
+{
+    const GateReport &report = entry.report_;
+    if (now - entry.reportedAt_ > reportLifetime || !report.verdict_.allowsEjection()) {
+        return Finding::Nothing;
+    }
+    if (isGateSuspect(report)) {
+        return Finding::GateInTrouble;
+    }
+    if (!entry.opinion_ || now - entry.opinionAt_ > opinionLifetime) {
+        return Finding::NeedsOpinion;
+    }
+    return contradicts(*entry.opinion_, report) ? Finding::GateInTrouble : Finding::Candidate;
+}
+
+} // namespace qz
--- a/packages/qz_health/qz_health.h
+++ b/packages/qz_health/qz_health.h
@@ -6,6 +6,11 @@
 
 #include "qz_health/detection/outlierdetector.h"
 #include "qz_health/detection/verdict.h"
+#include "qz_health/ejection/ejectiondecider.h"
+#include "qz_health/ejection/ejectiondriver.h"
+#include "qz_health/ejection/ejectionrow.h"
+#include "qz_health/ejection/gateejections.h"
+#include "qz_health/ejection/holddown.h"
 #include "qz_health/evidence/evidencedigest.h"
 #include "qz_health/evidence/observation.h"
 #include "qz_health/evidence/serverevidence.h"
--- /dev/null
+++ b/packages/qz_health/tests/sicknessreviewtest.cpp
@@ -0,0 +1,100 @@
+// Second opinions, and gates that are cut off themselves.
+#include "qz_health/qz_health.h"
+
+#include "qz_core/time/manualclock.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace qz;
+using namespace std::chrono_literals;
+
+namespace {
+
+const BackendServerId sick{ "s1" };
+const FailureDomainId gateDomain{ "alex-a" };
+const FailureDomainId otherDomain{ "cairo-b" };
+
+struct Fixture
+{
+    GateReport reportOf(const Verdict &verdict) const
+    {
+        GateReport report;
+        report.server_ = sick;
+        report.gate_ = InstanceId("i1");
+        report.gateDomain_ = gateDomain;
+        report.verdict_ = verdict;
+        return report;
+    }
+
+    ReviewResult reviewWith(const GateReport &report, const SecondOpinion &opinion)
+    {
+        review_.takeReport(report, clock_.now());
+        review_.takeOpinion(opinion, clock_.now());
+        return review_.review(clock_.now());
+    }
+
+    ManualClock clock_;
+    SicknessReview review_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Review, Fixture)
+
+BOOST_AUTO_TEST_CASE(unreachableNeedsASecondOpinionOfAnotherDomain)
+{
+    const GateReport report = reportOf(Verdict{ Unreachable{}, 1 });
+    ReviewResult result = reviewWith(report, { sick, gateDomain, false, false });
+    BOOST_TEST(result.candidates_.empty());
+    BOOST_TEST_REQUIRE(result.opinionRequests_.size() == 1U);
+    BOOST_TEST((result.opinionRequests_[0].avoidDomain_ == gateDomain));
+    BOOST_TEST(review_.review(clock_.now()).opinionRequests_.empty());
+    result = reviewWith(report, { sick, otherDomain, false, false });
+    BOOST_TEST(result.candidates_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(oneWayCutMovesTheGate)
+{
+    const GateReport report = reportOf(Verdict{ Unreachable{}, 1 });
+    const ReviewResult result = reviewWith(report, { sick, otherDomain, true, true });
+    BOOST_TEST(result.candidates_.empty());
+    BOOST_TEST(result.gateMoves_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(cutOffGateEjectsNothing)
+{
+    GateReport report = reportOf(Verdict{ Unreachable{}, 1 });
+    report.gateServers_ = 5;
+    report.gateTroubled_ = 4;
+    const ReviewResult result = reviewWith(report, { sick, otherDomain, false, false });
+    BOOST_TEST(result.candidates_.empty());
+    BOOST_TEST(result.gateMoves_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(slowPathOfTheGateIsNotTheServers)
+{
+    GateReport report = reportOf(Verdict{ Slow{ 5 }, 1 });
+    report.probesBad_ = true;
+    const ReviewResult result = reviewWith(report, { sick, otherDomain, true, true });
+    BOOST_TEST(result.candidates_.empty());
+    BOOST_TEST(result.gateMoves_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(goodProbesDoNotSaveAServerWhoseWorkFails)
+{
+    const GateReport report = reportOf(Verdict{ Failing{ 1 }, 1 });
+    const ReviewResult result = reviewWith(report, { sick, otherDomain, true, true });
+    BOOST_TEST(result.candidates_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(oldReportsAndOpinionsDoNotCount)
+{
+    const GateReport report = reportOf(Verdict{ Failing{ 1 }, 1 });
+    reviewWith(report, { sick, otherDomain, true, false });
+    clock_.advance(4s);
+    BOOST_TEST(review_.review(clock_.now()).candidates_.empty());
+    review_.takeReport(report, clock_.now());
+    BOOST_TEST(review_.review(clock_.now()).candidates_.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
