--- /dev/null
+++ b/packages/qz_health/evidence/doubtprober.cpp
@@ -0,0 +1,22 @@
+#include "qz_health/evidence/doubtprober.h"
+
+#include <algorithm>
+
+namespace qz {
+
+bool DoubtProber::shouldProbe(const Verdict &verdict, TimePoint now)
+{
+    const std::chrono::duration<double> elapsed = now - refilledAt_;
+    const std::chrono::duration<double> period = refillPeriod;
+    tokens_ = std::min(burst, tokens_ + elapsed / period);
+    refilledAt_ = now;
+    if (!verdict.isDoubt() || isProbing_ || now < nextProbe_ || tokens_ < 1) {
+        return false;
+    }
+    tokens_ -= 1;
+    nextProbe_ = now + spacing;
+    isProbing_ = true;
+    return true;
+}
+
+} // namespace qz
--- a/packages/qz_health/qz_health.h
+++ b/packages/qz_health/qz_health.h
@@ -11,6 +11,7 @@
 #include "qz_health/ejection/ejectionrow.h"
 #include "qz_health/ejection/gateejections.h"
 #include "qz_health/ejection/holddown.h"
+#include "qz_health/evidence/doubtprober.h"
 #include "qz_health/evidence/evidencedigest.h"
 #include "qz_health/evidence/observation.h"
 #include "qz_health/evidence/serverevidence.h"
