--- a/packages/qz_health/tests/detectionmeasurement.cpp
+++ b/packages/qz_health/tests/detectionmeasurement.cpp
@@ -23,7 +23,7 @@
 namespace {
 
 enum class Fault { None, Slow3, Slow10, HalfFail, NeverAnswers, OneWay, Flapping };
-enum class Load { Calm, Noise, Busy, HeavyTails, Flood, ColdStart, GateCut };
+enum class Load { Calm, Noise, Busy, HeavyTails, Flood, ColdStart, GateCut, LyingProbes };
 
 struct Scenario
 {
@@ -44,6 +44,7 @@
 constexpr Duration digestPeriod = 200ms;
 constexpr Duration requestTimeout = 2s;
 constexpr Duration probeTimeout = 250ms;
+constexpr Duration opinionDelay = 150ms;
 constexpr Duration warmUp = 40s;
 constexpr int serverCount = 8;
 constexpr int faultyServer = 3;
@@ -67,7 +68,8 @@
     Verdict verdict_;
     EvidenceDigest digest_;
     std::optional<TimePoint> ejectedAt_;
-    std::optional<TimePoint> lowAt_; ///< Since when its weight is under a tenth.
+    std::optional<TimePoint> lowAt_;     ///< Since when its weight is under a tenth.
+    std::optional<TimePoint> opinionAt_; ///< When a second opinion will arrive.
     TimePoint pausedUntil_;
 };
 
@@ -99,8 +101,9 @@
         return at ? std::optional<Duration>(*at - faultAt_) : std::nullopt;
     }
 
-    /// Ejections that the verdicts of healthy servers would have allowed.
+    /// Ejections of healthy servers.
     int falseEjections() const { return falseEjections_; }
+    int gateMoves() const { return gateMoves_; }
 
 private:
     double uniform() { return std::uniform_real_distribution<>(0, 1)(random_); }
@@ -291,17 +294,55 @@
             server.lowAt_ = clock_.now();
         }
         if (server.verdict_.allowsEjection()) {
-            eject(index);
+            reviewServer(index);
         }
     }
 
-    /// The review by a second instance is part of the policy: it reaches what is not sick.
-    void eject(std::size_t index)
+    /// Ejects what the review lets pass; a second opinion takes opinionDelay.
+    void reviewServer(std::size_t index)
     {
-        if (std::holds_alternative<Unreachable>(servers_[index].verdict_.state_)
-            && isGateCut(index)) {
-            return;
+        Server &server = servers_[index];
+        GateReport report;
+        report.server_ = BackendServerId(std::to_string(index));
+        report.gateDomain_ = FailureDomainId("gate");
+        report.verdict_ = server.verdict_;
+        report.probesBad_ = server.digest_.probeScore_ > 0;
+        review_.takeReport(report, clock_.now());
+        if (server.opinionAt_ && *server.opinionAt_ <= clock_.now()) {
+            review_.takeOpinion(opinionOf(index), clock_.now());
+            server.opinionAt_.reset();
+        }
+        const ReviewResult result = review_.review(clock_.now());
+        for (const OpinionRequest &request : result.opinionRequests_) {
+            servers_[std::stoul(request.server_.value())].opinionAt_ = clock_.now() + opinionDelay;
         }
+        for (const GateMove &move : result.gateMoves_) {
+            ++gateMoves_;
+            review_.forget(move.server_);
+            servers_[std::stoul(move.server_.value())].evidence_.reset(clock_.now());
+        }
+        for (const EjectionCandidate &candidate : result.candidates_) {
+            eject(std::stoul(candidate.server_.value()));
+        }
+    }
+
+    SecondOpinion opinionOf(std::size_t index) const
+    {
+        const Fault fault = isFaulty(index) ? scenario_.fault_ : Fault::None;
+        const bool isGood = fault == Fault::None && !isLying(index);
+        return SecondOpinion{ BackendServerId(std::to_string(index)), FailureDomainId("other"),
+                              fault != Fault::OneWay, isGood };
+    }
+
+    /// Its probes are bad while its work is good.
+    bool isLying(std::size_t index) const
+    {
+        return scenario_.load_ == Load::LyingProbes && index < 2;
+    }
+
+    void eject(std::size_t index)
+    {
+        review_.forget(BackendServerId(std::to_string(index)));
         if (index == faultyServer && scenario_.fault_ != Fault::None) {
             servers_[index].ejectedAt_ = clock_.now();
             return;
@@ -316,7 +357,9 @@
     ManualClock clock_;
     std::array<Server, serverCount> servers_;
     TimePoint faultAt_;
+    SicknessReview review_;
     int falseEjections_ = 0;
+    int gateMoves_ = 0;
 };
 
 std::string spreadOf(std::vector<std::optional<Duration>> times)
@@ -356,9 +399,10 @@
 {
     Simulation simulation(scenario, policy.detector_, 1);
     simulation.run(std::chrono::minutes(minutes));
-    std::printf("%-12s %-15s %d slots %4.0f/s  false ejections: %d in %d healthy server-minutes\n",
+    std::printf("%-12s %-15s %d slots %4.0f/s  false ejections: %d in %d healthy server-minutes, "
+                "gate moves: %d\n",
                 policy.name_, scenario.name_, scenario.slots_, scenario.ratePerServer_,
-                simulation.falseEjections(), minutes * serverCount);
+                simulation.falseEjections(), minutes * serverCount, simulation.gateMoves());
 }
 
 } // namespace
@@ -381,7 +425,7 @@
         std::pair("calm", Load::Calm),        std::pair("noise", Load::Noise),
         std::pair("load 95 %", Load::Busy),   std::pair("heavy tails", Load::HeavyTails),
         std::pair("flood", Load::Flood),      std::pair("cold start", Load::ColdStart),
-        std::pair("cut gate", Load::GateCut),
+        std::pair("cut gate", Load::GateCut), std::pair("lying probes", Load::LyingProbes),
     };
     std::printf("times: min, median, max over %u seeds\n", seeds);
     for (const Policy &policy : policies) {
