--- a/packages/qz_health/evidence/serverevidence.cpp
+++ b/packages/qz_health/evidence/serverevidence.cpp
@@ -9,7 +9,7 @@
 
 constexpr double maxScore = 24;
 constexpr double minProbeScore = -6;
-constexpr double maxProbeScore = 8;
+constexpr double maxProbeScore = 10;
 constexpr double forgettingCount = 60; ///< Observations that a latency figure spans.
 constexpr double residualGain = 0.25;  ///< Share of the newest request in the slow factor.
 constexpr double troubleScore = 2;     ///< Below this, evidence is everyday noise.
--- a/packages/qz_health/tests/weightcontrollertest.cpp
+++ b/packages/qz_health/tests/weightcontrollertest.cpp
@@ -38,3 +38,22 @@
     weights.update(Verdict{ Healthy{}, 1 }, clock.now());
     BOOST_TEST(weights.weight() == 1);
 }
+
+BOOST_AUTO_TEST_CASE(probesAreSpentOnDoubtOnlyAndWithinABudget)
+{
+    ManualClock clock;
+    DoubtProber prober;
+    BOOST_TEST(!prober.shouldProbe(Verdict{ Healthy{}, 1 }, clock.now()));
+    const Verdict doubt{ Slow{ 3 }, Verdict::weightConfidence };
+    BOOST_TEST(prober.shouldProbe(doubt, clock.now()));
+    clock.advance(1s);
+    BOOST_TEST(!prober.shouldProbe(doubt, clock.now())); // one at a time
+    int sent = 0;
+    for (int i = 0; i < 600; ++i) {
+        clock.advance(100ms);
+        prober.probeEnded();
+        sent += prober.shouldProbe(doubt, clock.now()) ? 1 : 0;
+    }
+    BOOST_TEST(sent > 60);
+    BOOST_TEST(sent <= 81); // the burst and one a second
+}
