--- a/packages/qz_admission/policies/fifopolicy.h
+++ b/packages/qz_admission/policies/fifopolicy.h
@@ -19,6 +19,7 @@
 {
 public:
     std::string_view name() const { return "fifo"; }
+    bool limitsOverloadToTarget() const { return false; }
     void configure(int slots, const std::vector<RankShare> &ranks, TimePoint now);
     void insert(const QueuedTicket &queued, TimePoint now);
     void erase(const QueuedTicket &queued, TimePoint now);
@@ -28,6 +29,7 @@
     Duration wait(const QueuedTicket &queued, const SlotLoad &load) const;
     Duration waitOfRank(std::size_t rank, const SlotLoad &load) const;
     std::optional<std::uint64_t> victim(const QueuedTicket &queued, std::size_t maxQueued) const;
+    std::optional<std::uint64_t> lessWorthy(const QueuedTicket &queued) const;
     nlohmann::json dump() const;
 
 private:
--- a/packages/qz_admission/policies/sharedrankspolicy.cpp
+++ b/packages/qz_admission/policies/sharedrankspolicy.cpp
@@ -8,9 +8,13 @@
 
 namespace {
 
-/// How far a rank's use of its share may run ahead or behind.
+/// How far a rank may run ahead of its share, or fall behind it and still be given it later.
 constexpr Duration creditWindow = std::chrono::seconds(1);
 
+/// How much of what a rank ran ahead is kept while no two ranks wait: slots that nobody else
+/// wanted aren't held against it for long.
+constexpr Duration uncontendedDebtWindow = std::chrono::milliseconds(100);
+
 Duration scaled(Duration duration, double factor)
 {
     return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
@@ -42,11 +46,16 @@
 {
     const Duration passed = std::max(Duration{}, now - settledAt_);
     settledAt_ = std::max(now, settledAt_);
+    int waitingRanks = 0;
     for (RankQueue &rank : ranks_) {
         if (!rank.tickets_.isEmpty()) {
+            ++waitingRanks;
             addCredit(rank, scaled(passed, rank.share_ * slots_));
         }
     }
+    if (waitingRanks < 2 && passed > Duration{}) {
+        forgiveDebts();
+    }
 }
 
 void SharedRanksPolicy::addCredit(RankQueue &rank, Duration amount) const
@@ -55,6 +64,14 @@
     rank.credit_ = std::clamp(rank.credit_ + amount, -limit, limit);
 }
 
+void SharedRanksPolicy::forgiveDebts()
+{
+    for (RankQueue &rank : ranks_) {
+        const Duration most = scaled(uncontendedDebtWindow, rank.share_ * slots_);
+        rank.credit_ = std::max(rank.credit_, -most);
+    }
+}
+
 void SharedRanksPolicy::insert(const QueuedTicket &queued, TimePoint now)
 {
     settle(now);
@@ -159,6 +176,9 @@
     if (ranks_[own].tickets_.isBelowLongest(queued)) {
         return ranks_[own].tickets_.longestBackId();
     }
+    if (const auto lesser = lessWorthy(queued)) {
+        return lesser;
+    }
     const double ownPlaces = ranks_[own].share_ * static_cast<double>(maxQueued);
     if (static_cast<double>(ranks_[own].tickets_.size() + 1) > ownPlaces) {
         return std::nullopt;
@@ -171,6 +191,11 @@
     return std::nullopt;
 }
 
+std::optional<std::uint64_t> SharedRanksPolicy::lessWorthy(const QueuedTicket &queued) const
+{
+    return ranks_.at(queued.ticket_.rank_).tickets_.lessWorthyId(queued);
+}
+
 nlohmann::json SharedRanksPolicy::dump() const
 {
     nlohmann::json ranks = nlohmann::json::array();
