Correct predicted waits by the waits that followed

Cause: the predicted wait knows the queued work, but not the work that will come later and go first: other workspaces' within the rank, more urgent ranks', and the kept shares of less urgent ones. In an overloaded rank, work was therefore taken that then missed its target. The predictions of a rank are now multiplied by the smoothed ratio of actual to predicted waits, between 1 and 4.

--- a/packages/qz_admission/queue/admissionqueue.cpp
+++ b/packages/qz_admission/queue/admissionqueue.cpp
@@ -55,7 +55,8 @@
     dropExpired(now);
     ticket.rank_ = std::min(ticket.rank_, ranks_.size() - 1);
     const Duration expected = serviceTimes_.expected(ticket.kind_);
-    QueuedTicket queued{ std::move(ticket), nextSequence_++, now, expected };
+    QueuedTicket queued{ std::move(ticket), nextSequence_++, now, {}, expected };
+    queued.predictedWait_ = predictedWait(queued, now);
     BOOST_OUTCOME_TRY(makeTime(queued, now));
     if (!makePlace(queued, now)) {
         recordOverload(queued, now);
@@ -65,11 +66,16 @@
     return success();
 }
 
-TimePoint AdmissionQueue::expectedAnswer(const QueuedTicket &queued, TimePoint now) const
+Duration AdmissionQueue::predictedWait(const QueuedTicket &queued, TimePoint now) const
 {
     const SlotLoad load = slotLoad(now);
-    const Duration wait =
-            std::visit([&](const auto &policy) { return policy.wait(queued, load); }, policy_);
+    return std::visit([&](const auto &policy) { return policy.wait(queued, load); }, policy_);
+}
+
+TimePoint AdmissionQueue::expectedAnswer(const QueuedTicket &queued, TimePoint now) const
+{
+    const WaitCorrection &correction = corrections_[queued.ticket_.rank_];
+    const Duration wait = correction.corrected(queued.predictedWait_);
     return now + wait + serviceTimes_.cautious(queued.ticket_.kind_);
 }
 
@@ -165,6 +171,8 @@
     assert(!node.empty());
     QueuedTicket &queued = node.mapped();
     expiries_.erase(expiryOf(queued));
+    WaitCorrection &correction = corrections_[queued.ticket_.rank_];
+    correction.record(queued.predictedWait_, now - queued.offeredAt_);
     std::visit([&](auto &policy) { policy.start(queued, now); }, policy_);
     Ticket ticket = queued.ticket_;
     running_.emplace(*id, Running{ std::move(queued), now });
@@ -236,6 +244,7 @@
     assert(!ranks.empty());
     ranks_ = std::move(ranks);
     overloads_.resize(std::max(overloads_.size(), ranks_.size()));
+    corrections_.resize(overloads_.size());
     setSlots(slots_);
 }
 
--- a/packages/qz_admission/queue/admissionqueue.h
+++ b/packages/qz_admission/queue/admissionqueue.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "qz_admission/estimates/servicetimes.h"
+#include "qz_admission/estimates/waitcorrection.h"
 #include "qz_admission/policies/admissionpolicy.h"
 #include "qz_admission/queue/overloadmark.h"
 #include "qz_admission/queue/ticket.h"
@@ -92,6 +93,7 @@
 
     AdmissionQueue() = default;
     SlotLoad slotLoad(TimePoint now) const;
+    Duration predictedWait(const QueuedTicket &queued, TimePoint now) const;
     TimePoint expectedAnswer(const QueuedTicket &queued, TimePoint now) const;
     Duration targetOf(std::size_t rank) const;
     bool isHeldToTarget(std::size_t rank, TimePoint now) const;
@@ -107,8 +109,9 @@
     AdmissionPolicy policy_;
     int slots_ = 1;
     std::size_t maxQueued_ = 1;
-    std::vector<RankShare> ranks_;        ///< At least one.
-    std::vector<OverloadMark> overloads_; ///< One for each rank, also of earlier rules.
+    std::vector<RankShare> ranks_;            ///< At least one.
+    std::vector<OverloadMark> overloads_;     ///< One for each rank, also of earlier rules.
+    std::vector<WaitCorrection> corrections_; ///< As many as overloads_.
     ServiceTimes serviceTimes_;
     QueuedTickets queued_;      ///< At most maxQueued_; the policy holds the same tickets.
     std::set<Expiry> expiries_; ///< One for each queued ticket.
--- a/packages/qz_admission/queue/ticket.h
+++ b/packages/qz_admission/queue/ticket.h
@@ -37,7 +37,8 @@
     Ticket ticket_;
     std::uint64_t sequence_ = 0; ///< Rises with each offer.
     TimePoint offeredAt_;
-    Duration expected_{}; ///< Expected time in a slot, as estimated at the offer.
+    Duration predictedWait_{}; ///< As predicted at the offer, before any correction.
+    Duration expected_{};      ///< Expected time in a slot, as estimated at the offer.
 };
 
 /// A ticket that left the queue without a slot.
--- a/packages/qz_admission/qz_admission.h
+++ b/packages/qz_admission/qz_admission.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "qz_admission/estimates/servicetimes.h"
+#include "qz_admission/estimates/waitcorrection.h"
 #include "qz_admission/policies/admissionpolicy.h"
 #include "qz_admission/policies/fifopolicy.h"
 #include "qz_admission/policies/sharedrankspolicy.h"
--- a/packages/qz_admission/tests/baselinestest.cpp
+++ b/packages/qz_admission/tests/baselinestest.cpp
@@ -1,4 +1,4 @@
-// Tests of the baselines' order and of the service times.
+// Tests of the baselines' order and of the estimates.
 #include "queuedriver.h"
 
 #include <boost/test/unit_test.hpp>
@@ -81,6 +81,23 @@
     BOOST_TEST((times.cautious("varying") > milliseconds(100)));
 }
 
+BOOST_AUTO_TEST_CASE(waitsAreCorrectedUpwardsWithinALimit)
+{
+    WaitCorrection longer;
+    WaitCorrection shorter;
+    WaitCorrection farOff;
+    BOOST_TEST((longer.corrected(milliseconds(100)) == milliseconds(100)));
+    for (int i = 0; i < 200; ++i) {
+        longer.record(milliseconds(50), milliseconds(100));
+        shorter.record(milliseconds(50), milliseconds(10));
+        farOff.record(milliseconds(1), milliseconds(1000));
+    }
+    BOOST_TEST((longer.corrected(milliseconds(100)) > milliseconds(199)));
+    BOOST_TEST((longer.corrected(milliseconds(100)) < milliseconds(201)));
+    BOOST_TEST((shorter.corrected(milliseconds(100)) == milliseconds(100)));
+    BOOST_TEST((farOff.corrected(milliseconds(100)) == milliseconds(400)));
+}
+
 BOOST_AUTO_TEST_CASE(aBrokenRunIsNotMeasured)
 {
     QueueDriver driver = makeDriver(SharedRanksPolicy());
--- a/packages/qz_admission/tests/sharedrankstest.cpp
+++ b/packages/qz_admission/tests/sharedrankstest.cpp
@@ -331,6 +331,30 @@
     offerMany(driver, { 0, "ws", "kind", 1.0, 1.0, seconds(2) }, 100);
 }
 
+BOOST_AUTO_TEST_CASE(refusesByTheWaitsThatWereSeen)
+{
+    QueueDriver driver = makeDriver();
+    const TestOffer hasty{ 2, "ws", "kind", 1.0, 1.0, milliseconds(120) };
+    for (int round = 0; round < 20; ++round) { // Urgent work keeps coming ahead of rank 2.
+        offerMany(driver, { 2 }, 5);
+        driver.offer({ 0 }).value();
+        for (int served = 0; served < 5;) {
+            if (driver.runOne(service).rank_ == 2) {
+                ++served;
+            } else {
+                driver.offer({ 0 }).value();
+            }
+        }
+    }
+    while (driver.runOne(service).id_ != 0) {
+    }
+    for (int i = 0; i < 5; ++i) { // 50 ms of work ahead.
+        driver.offer({ 2, "ws-" + std::to_string(i) }).value();
+    }
+    BOOST_TEST(!driver.offer(hasty).has_value());
+    BOOST_TEST(makeDriver().offer(hasty).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(fewerRanksThanBeforeServeWhatIsQueued)
 {
     QueueDriver driver = makeDriver();
