--- a/packages/qz_rules/model/fieldlocator.cpp
+++ b/packages/qz_rules/model/fieldlocator.cpp
@@ -13,11 +13,14 @@
 class LineCounter
 {
 public:
+    // The names are those that the standard library asks of an iterator.
+    // NOLINTBEGIN(readability-identifier-naming)
     using iterator_category = std::input_iterator_tag;
     using value_type = char;
     using difference_type = std::ptrdiff_t;
     using pointer = const char *;
     using reference = const char &;
+    // NOLINTEND(readability-identifier-naming)
 
     LineCounter(const char *at, std::size_t *line)
         : at_(at)
--- a/packages/qz_rules/qz_rules.h
+++ b/packages/qz_rules/qz_rules.h
@@ -4,9 +4,9 @@
 // Dependencies: qz_core, qz_platform, nlohmann-json, libcrypto
 #pragma once
 
+#include "qz_rules/model/fieldlocator.h"
 #include "qz_rules/model/ruleset.h"
 #include "qz_rules/model/selector.h"
-#include "qz_rules/model/fieldlocator.h"
 #include "qz_rules/operators/rulesoperations.h"
 #include "qz_rules/spread/ruleskeeper.h"
 #include "qz_rules/spread/rulesservice.h"
