--- a/packages/qz_admission/policies/sharedrankspolicy.h
+++ b/packages/qz_admission/policies/sharedrankspolicy.h
@@ -16,12 +16,15 @@
 /// share: a rank with queued work earns its share of the slots' time, pays for each slot it
 /// takes, and goes first once it has earned the time that its next ticket needs.
 /// Within a rank, workspaces share by weight.
-/// In a full queue each rank keeps its share of the places in the same way.
+/// A rank that had to refuse work takes only what can be answered within its target.
+/// In a full queue each rank keeps its share of the places in the same way. What a rank must give
+/// up is what earns the least worth per slot time.
 /// @see AdmissionPolicy for the members, WorkspaceFairQueue
 class SharedRanksPolicy
 {
 public:
     std::string_view name() const { return "shared-ranks"; }
+    bool limitsOverloadToTarget() const { return true; }
     void configure(int slots, const std::vector<RankShare> &ranks, TimePoint now);
     void insert(const QueuedTicket &queued, TimePoint now);
     void erase(const QueuedTicket &queued, TimePoint now);
@@ -31,19 +34,21 @@
     Duration wait(const QueuedTicket &queued, const SlotLoad &load) const;
     Duration waitOfRank(std::size_t rank, const SlotLoad &load) const;
     std::optional<std::uint64_t> victim(const QueuedTicket &queued, std::size_t maxQueued) const;
+    std::optional<std::uint64_t> lessWorthy(const QueuedTicket &queued) const;
     nlohmann::json dump() const;
 
 private:
     struct RankQueue
     {
         double share_ = 0.0; ///< The shares of all ranks sum to at most 1.
-        Duration credit_{};  ///< Slot time earned and not used; at most creditWindow of its share.
+        Duration credit_{};  ///< Slot time earned and not used; negative: used ahead.
         WorkspaceFairQueue tickets_;
     };
 
     RankQueue &queueOf(const QueuedTicket &queued) { return ranks_.at(queued.ticket_.rank_); }
     void settle(TimePoint now);
     void addCredit(RankQueue &rank, Duration amount) const;
+    void forgiveDebts();
     bool isOwed(const RankQueue &rank) const;
     Duration waitFor(std::size_t rank, Duration ownAhead, const SlotLoad &load) const;
     bool isOverItsPlaces(const RankQueue &rank, std::size_t maxQueued) const;
