--- a/packages/qz_rules/tests/ruleskeepertest.cpp
+++ b/packages/qz_rules/tests/ruleskeepertest.cpp
@@ -71,6 +71,16 @@
     BOOST_TEST(!keeper_.isInForce(clock_.now()));
 }
 
+BOOST_FIXTURE_TEST_CASE(aVoterThatKnowsMoreDoesNotVouch, Fixture)
+{
+    keeper_.tick(clock_.now());
+    keeper_.takeAnswer(c, makeAnswer({ 2, 0 }), clock_.now()); // Its head is still on its way.
+    keeper_.tick(clock_.now());
+    BOOST_TEST(!keeper_.isInForce(clock_.now()));
+    keeper_.takeAnswer(b, makeAnswer({ 1, 0 }), clock_.now());
+    BOOST_TEST(keeper_.isInForce(clock_.now()));
+}
+
 BOOST_FIXTURE_TEST_CASE(statementsAboutAnotherHeadAreNotTaken, Fixture)
 {
     adopt({ 1, 0 });
--- a/packages/qz_rules/tests/rulesspreadtest.cpp
+++ b/packages/qz_rules/tests/rulesspreadtest.cpp
@@ -160,6 +160,18 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(anInstanceThatHearsNoPeerReadsTheTableBeforeItsProofIsTooOld)
+{
+    RuleHarness harness(fleet);
+    start(harness);
+    harness.seesCuts_ = false; // It still takes the others for alive.
+    harness.split(1);
+    for (int i = 0; i < 200; ++i) {
+        harness.run(100ms);
+        BOOST_REQUIRE(harness.inForce(0) == 1U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(anInstanceCutOffFromBothRefusesWithinTheLimitAndComesBack)
 {
     RuleHarness harness(fleet);
@@ -237,7 +249,7 @@
     for (std::size_t i = 0; i < old; ++i) {
         cutFromTable(harness, i, true);
     }
-    harness.run(2s);
+    harness.run(6s);
     BOOST_TEST(!harness.publishNow(old + 1, 1).has_value());
     harness.run(10s);
     BOOST_TEST(harness.countInForce(1) == old + added); // The old voters vouch for each other.
