--- a/packages/qz_fleet/links/linklimits.h
+++ b/packages/qz_fleet/links/linklimits.h
@@ -16,11 +16,13 @@
     std::size_t maxHandshakes_ = 256; ///< Accepted links that have not proved the key yet.
     Duration connectLimit_ = std::chrono::seconds(1);   ///< Less than handshakeLimit_.
     Duration handshakeLimit_ = std::chrono::seconds(3); ///< From the first dial to the proof.
-    /// A heartbeat goes out this long after the last answer, if anything was sent since.
+    /// A heartbeat goes out if something was sent and nothing was received for so long.
     Duration heartbeatPeriod_ = std::chrono::seconds(1);
-    Duration idleHeartbeatPeriod_ = std::chrono::seconds(5); ///< The same if nothing was sent.
-    Duration heartbeatLimit_ = std::chrono::seconds(3);      ///< A heartbeat's wait for its answer.
-    Duration minBackoff_ = std::chrono::milliseconds(100);   ///< After the first failed dial.
+    /// A heartbeat goes out this long after the last one, whatever else was received.
+    Duration idleHeartbeatPeriod_ = std::chrono::seconds(20);
+    /// A heartbeat's wait for its answer, and sent bytes' wait for the peer's TCP.
+    Duration heartbeatLimit_ = std::chrono::seconds(3);
+    Duration minBackoff_ = std::chrono::milliseconds(100); ///< After the first failed dial.
     Duration maxBackoff_ = std::chrono::seconds(2);
 };
 
--- a/packages/qz_fleet/links/peerlink.cpp
+++ b/packages/qz_fleet/links/peerlink.cpp
@@ -24,12 +24,6 @@
 constexpr std::size_t maxHandshakeFrameBytes = 1024;
 constexpr std::size_t readBytes = std::size_t(64) * 1024;
 
-void setNoDelay(evutil_socket_t descriptor)
-{
-    const int on = 1;
-    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-}
-
 sockaddr_in toAddress(const Endpoint &endpoint)
 {
     sockaddr_in address{};
@@ -69,7 +63,7 @@
 void PeerLink::accept()
 {
     isConnected_ = true;
-    setNoDelay(bufferevent_getfd(socket_));
+    prepareSocket();
     start();
 }
 
@@ -88,6 +82,9 @@
 {
     assert(isEstablished());
     hasSentSinceAnswer_ = true;
+    if (!unheardSince_) {
+        unheardSince_ = clock_.now();
+    }
     write(encodeFrame(kind, payload));
 }
 
@@ -128,7 +125,7 @@
     const auto flags = static_cast<unsigned>(events);
     if ((flags & BEV_EVENT_CONNECTED) != 0) {
         link->isConnected_ = true;
-        setNoDelay(bufferevent_getfd(link->socket_));
+        link->prepareSocket();
         link->write(link->handshake_.open());
         return;
     }
@@ -182,6 +179,8 @@
         takeHandshakeFrame(frame);
         return;
     }
+    unheardSince_.reset();
+    receivedAt_ = clock_.now();
     if (frame.kind_ == MessageKind::Heartbeat) {
         takeHeartbeat(frame);
         return;
@@ -234,6 +233,7 @@
     isEstablished_ = true;
     establishedAt_ = clock_.now();
     heartbeatAt_ = establishedAt_;
+    receivedAt_ = establishedAt_;
     decoder_.setMaxFrameBytes(limits_.maxFrameBytes_);
     events_.established_(*this);
 }
@@ -272,9 +272,7 @@
         }
         return;
     }
-    const Duration period =
-            hasSentSinceAnswer_ ? limits_.heartbeatPeriod_ : limits_.idleHeartbeatPeriod_;
-    if (now - heartbeatAt_ < period) {
+    if (!isHeartbeatDue(now)) {
         return;
     }
     awaitsAnswer_ = true;
@@ -284,4 +282,26 @@
     write(encodeFrame(MessageKind::Heartbeat, packMessage(request)));
 }
 
+bool PeerLink::isHeartbeatDue(TimePoint now) const
+{
+    if (unheardSince_ && now - *unheardSince_ >= limits_.heartbeatPeriod_) {
+        return true;
+    }
+    const bool isQuiet = now - receivedAt_ >= limits_.idleHeartbeatPeriod_;
+    return now - heartbeatAt_ >= limits_.idleHeartbeatPeriod_ && (isQuiet || hasSentSinceAnswer_);
+}
+
+/// Sends at once, and lets TCP fail if the peer's side does not acknowledge: this finds a
+/// cut in either direction without a message.
+void PeerLink::prepareSocket()
+{
+    using std::chrono::milliseconds;
+    const evutil_socket_t descriptor = bufferevent_getfd(socket_);
+    const int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    const auto limit = std::chrono::duration_cast<milliseconds>(limits_.heartbeatLimit_);
+    const auto limitMs = static_cast<unsigned int>(limit.count());
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &limitMs, sizeof(limitMs));
+}
+
 } // namespace qz
--- a/packages/qz_fleet/links/peerlink.h
+++ b/packages/qz_fleet/links/peerlink.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -91,6 +92,8 @@
     void fail(const Error &error);
     void checkHandshake(TimePoint now);
     void checkHeartbeat(TimePoint now);
+    bool isHeartbeatDue(TimePoint now) const;
+    void prepareSocket();
 
     const Clock &clock_;
     const LinkLimits &limits_;
@@ -100,12 +103,14 @@
     FrameDecoder decoder_;
     Events events_;
     bool isConnected_ = false;
-    bool isEstablished_ = false; ///< Never falls back; only then are messages passed on.
+    bool isEstablished_ = false;            ///< Never falls back; only then are messages passed on.
+    std::optional<TimePoint> unheardSince_; ///< The first message sent since the last received.
     bool hasSentSinceAnswer_ = false;
     bool awaitsAnswer_ = false; ///< A heartbeat of ours is on its way.
     std::uint64_t heartbeatSequence_ = 0;
     TimePoint startedAt_;
     TimePoint establishedAt_;
+    TimePoint receivedAt_;
     TimePoint heartbeatAt_; ///< When the last heartbeat was sent or answered.
 };
 
--- a/packages/qz_fleet/membership/membershipdriver.cpp
+++ b/packages/qz_fleet/membership/membershipdriver.cpp
@@ -20,6 +20,11 @@
 {
 }
 
+MembershipDriver::~MembershipDriver()
+{
+    parts_.links_.setHandler(MessageKind::MembershipGossip, nullptr);
+}
+
 void MembershipDriver::start()
 {
     parts_.links_.setHandler(
--- a/packages/qz_fleet/membership/membershipdriver.h
+++ b/packages/qz_fleet/membership/membershipdriver.h
@@ -31,6 +31,7 @@
     };
 
     explicit MembershipDriver(const Parts &parts);
+    ~MembershipDriver();
     MembershipDriver(const MembershipDriver &) = delete;
     MembershipDriver &operator=(const MembershipDriver &) = delete;
 
