--- a/packages/qz_fleet/links/peerlinks.cpp
+++ b/packages/qz_fleet/links/peerlinks.cpp
@@ -53,6 +53,7 @@
     if (listener_ == nullptr) {
         return failure(ErrorKind::InvalidSettings, "cannot listen on " + toString(listenEndpoint_));
     }
+    evconnlistener_set_error_cb(listener_, &PeerLinks::onAcceptError);
     socklen_t length = sizeof(address);
     getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr *>(&address), &length);
     listenEndpoint_.port_ = ntohs(address.sin_port);
@@ -182,6 +183,15 @@
     static_cast<PeerLinks *>(self)->acceptLink(descriptor);
 }
 
+/// Out of descriptors, most likely: accepts again with the next check, not in a busy loop.
+void PeerLinks::onAcceptError(evconnlistener *listener, void * /*self*/)
+{
+    const int error = EVUTIL_SOCKET_ERROR();
+    log(LogLevel::Error, "cannot accept a peer link",
+        { { "cause", evutil_socket_error_to_string(error) } });
+    evconnlistener_disable(listener);
+}
+
 void PeerLinks::acceptLink(int descriptor)
 {
     if (handshakes_.size() >= limits_.maxHandshakes_) {
@@ -291,7 +301,9 @@
 {
     const PeerLink::Ptr self = link.shared_from_this();
     const InstanceId peer = link.peer().id_;
-    log(LogLevel::Error, "peer link closed",
+    const bool isPlain =
+            error.kind_ == ErrorKind::PeerLinkLost || error.kind_ == ErrorKind::GateUnreachable;
+    log(isPlain ? LogLevel::Warning : LogLevel::Error, "peer link closed",
         { { "peer", peer.value() },
           { "kind", toString(error.kind_) },
           { "cause", error.message_ } });
@@ -370,6 +382,7 @@
         link->checkTimes();
     }
     if (listener_ != nullptr) {
+        evconnlistener_enable(listener_);
         dialWaiting();
     }
 }
--- a/packages/qz_fleet/links/peerlinks.h
+++ b/packages/qz_fleet/links/peerlinks.h
@@ -115,6 +115,8 @@
     static void onAccept(evconnlistener *listener, int descriptor, sockaddr *address, int length,
                          void *self);
 
+    static void onAcceptError(evconnlistener *listener, void *self);
+
     void acceptLink(int descriptor);
     PeerLink::Ptr makeLink(int descriptor, LinkRole role, std::optional<InstanceId> peer);
     void wireEvents(PeerLink &link);
--- a/packages/qz_fleet/tests/linknode.h
+++ b/packages/qz_fleet/tests/linknode.h
@@ -24,6 +24,16 @@
     return limits;
 }
 
+/// No time runs out: a link that is closed was closed for another reason.
+inline LinkLimits patientLimits()
+{
+    LinkLimits limits;
+    limits.handshakeLimit_ = std::chrono::hours(1);
+    limits.heartbeatPeriod_ = std::chrono::hours(1);
+    limits.idleHeartbeatPeriod_ = std::chrono::hours(1);
+    return limits;
+}
+
 /// Runs @p loop until @p isDone, for five seconds at most. Returns whether it came to that.
 template<typename Predicate>
 bool runUntil(EventLoop &loop, Predicate isDone)
@@ -42,7 +52,7 @@
 struct LinkNode
 {
     LinkNode(EventLoop &loop, const std::string &name, const std::string &key = "fleet key",
-             std::uint16_t port = 0)
+             std::uint16_t port = 0, const LinkLimits &limits = quickLimits())
         : id_(name)
     {
         links_ = PeerLinks::Builder()
@@ -50,7 +60,7 @@
                          .setSelf(id_, name + "-1")
                          .setListenEndpoint({ "127.0.0.1", port })
                          .setFleetKey(key)
-                         .setLimits(quickLimits())
+                         .setLimits(limits)
                          .build();
         const auto keep = [this](const InstanceId &from, std::string_view payload) {
             received_.emplace_back(from.value() + ":" + std::string(payload));
--- a/packages/qz_fleet/tests/peerlinkstest.cpp
+++ b/packages/qz_fleet/tests/peerlinkstest.cpp
@@ -26,7 +26,7 @@
 void checkHarmsItsOwnLinkOnly(const std::string &harm)
 {
     EventLoop loop;
-    LinkNode a(loop, "a");
+    LinkNode a(loop, "a", fleetKey, 0, qz::patientLimits());
     LinkNode b(loop, "b");
     a.links_->setPeers({ b.peer() });
     RawPeer raw(loop, a.links_->listenEndpoint(), "raw", fleetKey);
@@ -104,7 +104,7 @@
 BOOST_AUTO_TEST_CASE(nothingIsTakenBeforeTheProof)
 {
     EventLoop loop;
-    LinkNode a(loop, "a");
+    LinkNode a(loop, "a", fleetKey, 0, qz::patientLimits());
     RawPeer raw(loop, a.links_->listenEndpoint(), "raw", fleetKey);
     raw.setOpening(qz::encodeFrame(kind, "x"));
     BOOST_TEST(runUntil(loop, [&] { return raw.isClosed(); }));
@@ -250,7 +250,7 @@
 BOOST_AUTO_TEST_CASE(aTruncatedFrameIsNotHandedOut)
 {
     EventLoop loop;
-    LinkNode a(loop, "a");
+    LinkNode a(loop, "a", fleetKey, 0, qz::patientLimits());
     RawPeer raw(loop, a.links_->listenEndpoint(), "raw", fleetKey);
     BOOST_REQUIRE(runUntil(loop, [&] { return raw.isEstablished(); }));
     const std::string frame = qz::encodeFrame(kind, "payload");
