--- a/packages/qz_fleet/tests/membershiptest.cpp
+++ b/packages/qz_fleet/tests/membershiptest.cpp
@@ -31,6 +31,15 @@
     return member != nullptr && member->state_ == MemberState::Leaving;
 }
 
+std::size_t countAccused(const qz::Membership &membership, qz::TimePoint now)
+{
+    std::size_t count = 0;
+    for (const auto &subject : membership.dumpState(now)["monitored"]) {
+        count += subject["accused"].get<bool>() ? 1 : 0;
+    }
+    return count;
+}
+
 double seconds(qz::Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -105,6 +114,7 @@
         fleet.run(10s);
         BOOST_TEST(fleet.node(7).membership_->isCutOff(fleet.now()));
         BOOST_TEST(!fleet.node(8).membership_->isCutOff(fleet.now()));
+        BOOST_TEST(countAccused(*fleet.node(7).membership_, fleet.now()) == 0U);
         BOOST_TEST(fleet.node(7).membership_->members().size() == fleet.size());
         fleet.setCut(nullptr);
         const auto time = runUntilAllHold(fleet, 7, isPresent, 30s);
@@ -227,6 +237,7 @@
             fleet.giveList(i, fleet.listing());
         }
     }
+    BOOST_TEST(fleet.countHolding(9, isGone) == 31U); // Not even until it is found again.
     fleet.run(5s);
     BOOST_TEST(fleet.countHolding(9, isGone) == 31U);
 }
