--- a/packages/qz_core/faults/faultpoint.h
+++ b/packages/qz_core/faults/faultpoint.h
@@ -8,12 +8,12 @@
 
 /// The rules that can be broken on purpose.
 enum class FaultPoint : std::uint8_t {
-    ClaimSkipped, ///< A non-repeatable request is sent without a claim.
-    NotRunGuessed, ///< A request that was cut is told as not run.
+    ClaimSkipped,    ///< A non-repeatable request is sent without a claim.
+    NotRunGuessed,   ///< A request that was cut is told as not run.
     AnswerUnmatched, ///< A gate's answer is given to any request that waits for that gate.
-    LeavingIgnored, ///< A leaving backend server still gets work.
-    DrainSkipped, ///< A planned stop ends at once.
-    RulesFrozen, ///< A newer version of the rules is not taken over.
+    LeavingIgnored,  ///< A leaving backend server still gets work.
+    DrainSkipped,    ///< A planned stop ends at once.
+    RulesFrozen,     ///< A newer version of the rules is not taken over.
 };
 
 /// Whether the rule is to be broken. Always false in the shipped programs, which link the
