Guard the limits of a claim's tries and the wait of an idle group

Deliberate faults in a scratch copy showed three rules that no test guarded: the number of tries, the time after which no new try is made, and the wait for more writes.

--- a/packages/qz_once/tests/claimbatchertest.cpp
+++ b/packages/qz_once/tests/claimbatchertest.cpp
@@ -46,6 +46,16 @@
     BOOST_TEST(table_.commitCount() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(anIdleBatcherWaitsForMoreWrites)
+{
+    write("once/w/a");
+    timers_.advance(limits_.wait_ / 2);
+    write("once/w/b");
+    settle();
+    BOOST_TEST(applied_.size() == 2U);
+    BOOST_TEST(table_.commitCount() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(aFullGroupDoesNotWait)
 {
     for (std::size_t i = 0; i < limits_.batchSize_; ++i) {
--- a/packages/qz_once/tests/claimclienttest.cpp
+++ b/packages/qz_once/tests/claimclienttest.cpp
@@ -5,14 +5,64 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace qz;
 using namespace std::chrono_literals;
 using Fault = FakeTable::Fault;
 
+namespace {
+
+/// Reads work; writes are lost and have no effect.
+class LosingTable : public Table
+{
+public:
+    explicit LosingTable(FakeTable &table)
+        : table_(table)
+    {
+    }
+
+    void read(const std::string &key, ReadDone done) override { table_.read(key, std::move(done)); }
+
+    void commit(std::vector<TableWrite> writes, CommitDone done) override
+    {
+        ++commits_;
+        table_.setFault(Fault::LoseCalls);
+        table_.commit(std::move(writes), std::move(done));
+        table_.setFault(Fault::None);
+    }
+
+    int commits_ = 0;
+
+private:
+    FakeTable &table_;
+};
+
+} // namespace
+
 BOOST_FIXTURE_TEST_SUITE(claimClient, ClaimFixture)
 
+BOOST_AUTO_TEST_CASE(aClaimIsTriedALimitedNumberOfTimes)
+{
+    LosingTable losing(table_);
+    const auto a = makeClient("a", losing);
+    BOOST_TEST(failsWith(claimNow(*a), ErrorKind::ClaimUndecided));
+    BOOST_TEST(losing.commits_ == ClaimLimits{}.tries_);
+}
+
+BOOST_AUTO_TEST_CASE(aClaimIsNotTriedAgainAfterItsAnswerLimit)
+{
+    LosingTable losing(table_);
+    const auto a = makeClient("a", losing);
+    Answer answer;
+    claim(*a, answer);
+    timers_.advance(ClaimLimits{}.answerLimit_);
+    settle();
+    BOOST_TEST(failsWith(answer.value(), ErrorKind::ClaimUndecided));
+    BOOST_TEST(losing.commits_ == 1);
+}
+
 BOOST_AUTO_TEST_CASE(theSameKeyAtTwoInstancesAtOnceIsGrantedOnce)
 {
     const auto a = makeClient("a");
