--- a/packages/qz_fleet/tests/memberupdatetest.cpp
+++ b/packages/qz_fleet/tests/memberupdatetest.cpp
@@ -11,7 +11,7 @@
 
 using qz::InstanceId;
 using qz::MemberUpdate;
-using qz::Verdict;
+using qz::MemberVerdict;
 
 namespace {
 
@@ -24,7 +24,7 @@
     update.id_ = InstanceId("a");
     update.incarnation_ = pick(1) == 0 ? "first" : "second";
     update.version_ = static_cast<std::uint64_t>(pick(2));
-    update.setVerdict(static_cast<Verdict>(pick(2)));
+    update.setVerdict(static_cast<MemberVerdict>(pick(2)));
     update.isLeaving_ = pick(3) == 0;
     return update;
 }
