--- a/apps/quetzalctl/commands.cpp
+++ b/apps/quetzalctl/commands.cpp
@@ -264,7 +264,7 @@
     request.headers_.set("Content-Type", "application/json");
     request.headers_.set("If-Match", "\"" + document.version_ + "\"");
     request.headers_.set("Idempotency-Key", makeRandomId());
-    request.headers_.set("X-Quetzaldale-Author", author);
+    request.headers_.set("Quetzaldale-Author", author);
     request.body_ = document.text_;
     // The same attempt again, by its key, if an answer was lost.
     Result<HttpResponse> response = client_.call(request);
--- a/apps/quetzaldaled/rulesduty.cpp
+++ b/apps/quetzaldaled/rulesduty.cpp
@@ -2,11 +2,9 @@
 #include "quetzaldaled/rulesduty.h"
 
 #include "quetzaldaled/rulesmessages.h"
-#include "qz_core/ids/randomid.h"
 #include "qz_core/logging/logger.h"
 #include "qz_proxy/operators/operatorservice.h"
 
-#include <charconv>
 #include <random>
 #include <utility>
 
@@ -14,30 +12,18 @@
 
 namespace {
 
-constexpr int statusOk = 200;
 constexpr const char *authorHeader = "Quetzaldale-Author";
 
-/// Reads an entity tag such as "7" with its quotes.
-std::optional<RulesVersion> readVersionTag(const std::string &tag)
+void reply(HttpExchange &exchange, const RulesReply &rules)
 {
-    if (tag.size() < 3 || tag.front() != '"' || tag.back() != '"') {
-        return std::nullopt;
-    }
-    RulesVersion version = 0;
-    const char *last = tag.data() + tag.size() - 1;
-    const auto [end, error] = std::from_chars(tag.data() + 1, last, version);
-    if (error != std::errc() || end != last) {
-        return std::nullopt;
-    }
-    return version;
-}
-
-nlohmann::json toMilliseconds(const std::optional<Duration> &duration)
-{
-    if (!duration) {
-        return nullptr;
+    HttpResponse response;
+    response.status_ = rules.status_;
+    response.headers_.add("Content-Type", "application/json");
+    if (rules.version_) {
+        response.headers_.add("ETag", "\"" + std::to_string(*rules.version_) + "\"");
     }
-    return std::chrono::duration_cast<std::chrono::milliseconds>(*duration).count();
+    response.body_ = rules.body_;
+    exchange.reply(response);
 }
 
 } // namespace
@@ -67,6 +53,7 @@
     builder.setSeed(std::random_device{}());
     builder.setCallbacks(callbacks);
     service_ = builder.build();
+    operations_ = std::make_unique<RulesOperations>(*service_);
     parts_.links_.setHandler(MessageKind::RulesRequest,
                              [this](const InstanceId &from, std::string_view payload) {
                                  takeRequest(from, payload);
@@ -142,71 +129,31 @@
 
 void RulesDuty::handleRules(const std::shared_ptr<HttpExchange> &exchange)
 {
-    if (exchange->request().method_ == "PUT") {
-        publish(exchange);
-    } else {
-        answerRules(*exchange);
-    }
-}
-
-void RulesDuty::answerRules(HttpExchange &exchange) const
-{
-    const auto revision = service_->adopted();
-    if (revision == nullptr) {
-        replyError(exchange, { ErrorKind::NotFound, "there is no version of the rules yet" });
+    if (exchange->request().method_ != "PUT") {
+        reply(*exchange, operations_->get());
         return;
     }
-    HttpResponse response;
-    response.headers_.add("ETag", "\"" + std::to_string(revision->head_.stamp_.version_) + "\"");
-    response.headers_.add("Content-Type", "application/json");
-    response.body_ = revision->document_->text();
-    exchange.reply(response);
-}
-
-void RulesDuty::publish(const std::shared_ptr<HttpExchange> &exchange)
-{
     const HttpRequest &request = exchange->request();
-    const auto expected = readVersionTag(request.headers_.find("If-Match").value_or(""));
-    if (!expected) {
-        replyError(*exchange,
-                   { ErrorKind::BadRequest, "If-Match must hold the version, like \"7\"" });
-        return;
-    }
-    PublishOrder order;
-    order.expected_ = *expected;
-    order.document_ = request.body_;
-    order.author_ = request.headers_.find(authorHeader).value_or("unknown");
-    order.attemptToken_ = makeRandomId();
-    service_->publish(std::move(order), [exchange](const Result<RulesRevision> &revision) {
-        if (revision.has_error()) {
-            replyError(*exchange, revision.error());
-            return;
-        }
-        const RulesHead &head = revision.value().head_;
-        replyJson(*exchange, statusOk,
-                  { { "version", head.stamp_.version_ }, { "hash", head.hash_ } });
-    });
+    RulesPut put;
+    put.ifMatch_ = request.headers_.find("If-Match");
+    put.document_ = request.body_;
+    put.author_ = request.headers_.find(authorHeader).value_or("unknown");
+    put.attemptToken_ = request.headers_.find("Idempotency-Key").value_or("");
+    operations_->put(std::move(put),
+                     [exchange](const RulesReply &rules) { reply(*exchange, rules); });
 }
 
 void RulesDuty::handleStatus(const std::shared_ptr<HttpExchange> &exchange)
 {
-    replyJson(*exchange, statusOk, dumpState());
+    replyJson(*exchange, operations_->status().status_, dumpState());
 }
 
 nlohmann::json RulesDuty::dumpState() const
 {
-    const RulesStatus status = service_->status();
-    return { { "instance", parts_.view_.self().id_.value() },
-             { "rules_version", parts_.view_.rulesVersion() },
-             { "known_version", status.digest_.known_.version_ },
-             { "hash", status.hash_ },
-             { "author", status.author_ },
-             { "in_force", status.isInForce_ },
-             { "accepted", status.isEstablished_ },
-             { "polls_table", status.isPoller_ },
-             { "voters", status.voterCount_ },
-             { "confirmed_ms_ago", toMilliseconds(status.confirmationAge_) },
-             { "table_ms_ago", toMilliseconds(status.tableAge_) } };
+    auto state = nlohmann::json::parse(operations_->status().body_);
+    state["instance"] = parts_.view_.self().id_.value();
+    state["rules_version"] = parts_.view_.rulesVersion(); // By which work is classified.
+    return state;
 }
 
 } // namespace qz
--- a/apps/quetzaldaled/rulesduty.h
+++ b/apps/quetzaldaled/rulesduty.h
@@ -4,6 +4,7 @@
 #include "qz_fleet/links/peerlinks.h"
 #include "qz_http/server/httpexchange.h"
 #include "qz_proxy/view/workingview.h"
+#include "qz_rules/operators/rulesoperations.h"
 #include "qz_rules/spread/rulesservice.h"
 
 #include <memory>
@@ -44,12 +45,11 @@
     void takeRequest(const InstanceId &from, std::string_view payload);
     void takeAnswer(const InstanceId &from, std::string_view payload);
     void adopt(const RulesRevision &revision);
-    void answerRules(HttpExchange &exchange) const;
-    void publish(const std::shared_ptr<HttpExchange> &exchange);
 
     const Parts parts_;
     const std::string incarnation_;
     std::unique_ptr<RulesService> service_;
+    std::unique_ptr<RulesOperations> operations_; ///< On service_.
 };
 
 } // namespace qz
--- a/packages/qz_platform/table/table.h
+++ b/packages/qz_platform/table/table.h
@@ -11,7 +11,9 @@
 
 namespace qz {
 
-/// The version of one row: 0 while it is absent, and rising with each write to it.
+/// The version of one row: 0 while it is absent, and rising with each write to it. The table
+/// never gives the same version twice for a key, also not after the row was erased: claims
+/// of idempotency keys are safe only under that rule.
 using RowVersion = std::uint64_t;
 
 struct TableRow
--- a/tests/testbed/quetzaltestbed.cpp
+++ b/tests/testbed/quetzaltestbed.cpp
@@ -1,4 +1,5 @@
 // Runs a fleet of separate daemons between stand-ins: the demonstration of tools/demo.
+#include "testbed/measurements.h"
 #include "testbed/proofs.h"
 #include "testbed/testbed.h"
 
@@ -19,6 +20,7 @@
 Usage:
   quetzaltestbed demo --daemon=PATH [--instances=N] [--seconds=S] [--rate=R]
                       [--deployment=NAME] [--seed=N] [--logs=DIR] [--check]
+  quetzaltestbed measure --daemon=PATH [--seed=N] [--logs=DIR]
   quetzaltestbed prove --daemon=PATH --faulty-daemon=PATH [--promise=NAME] [--seeds=N]
                       [--instances=N] [--seed=N] [--logs=DIR]
 
@@ -127,10 +129,26 @@
     return qz::testing::runProofs(context, promise, seeds, instances) ? 0 : 1;
 }
 
+int runMeasure(std::map<std::string, docopt::value> &options)
+{
+    qz::testing::MeasureContext context;
+    context.daemon_ = options["--daemon"].asString();
+    context.logs_ = options["--logs"].asString();
+    context.seed_ = static_cast<std::uint64_t>(options["--seed"].asLong());
+    qz::testing::runMeasurements(context);
+    return 0;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     auto options = docopt::docopt(usage, { argv + 1, argv + argc }, true);
-    return options["prove"].asBool() ? runProve(options) : runDemo(options);
+    if (options["prove"].asBool()) {
+        return runProve(options);
+    }
+    if (options["measure"].asBool()) {
+        return runMeasure(options);
+    }
+    return runDemo(options);
 }
