--- a/apps/quetzaldaled/daemonsettings.cpp
+++ b/apps/quetzaldaled/daemonsettings.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::size_t leastSecretLength = 16;
 constexpr std::int64_t leastBodyBytes = 1024;
-constexpr std::int64_t mostBodyBytes = 1024 * 1024; ///< A frame between instances must hold it.
+constexpr std::int64_t mostBodyBytes = 1024L * 1024; ///< A frame between instances must hold it.
 constexpr Duration longest = 24h;
 
 std::string readSecret(SettingsReader &reader, const std::string &name)
--- a/packages/qz_gates/gate/gate.cpp
+++ b/packages/qz_gates/gate/gate.cpp
@@ -44,7 +44,7 @@
 
 } // namespace
 
-Gate::Gate(EventLoop &loop, const BackendServer &server, std::vector<RankShare> ranks)
+Gate::Gate(EventLoop &loop, const BackendServer &server, const std::vector<RankShare> &ranks)
     : loop_(loop)
     , server_(server.listed_.id_)
     , queue_(makeQueue(server, ranks))
--- a/packages/qz_gates/gate/gate.h
+++ b/packages/qz_gates/gate/gate.h
@@ -28,7 +28,7 @@
 public:
     using Done = std::function<void(ExecuteAnswer)>;
 
-    Gate(EventLoop &loop, const BackendServer &server, std::vector<RankShare> ranks);
+    Gate(EventLoop &loop, const BackendServer &server, const std::vector<RankShare> &ranks);
     Gate(const Gate &) = delete;
     Gate &operator=(const Gate &) = delete;
 
--- a/packages/qz_rules/tests/ruleharness.h
+++ b/packages/qz_rules/tests/ruleharness.h
@@ -1,11 +1,11 @@
 // A small fleet of RulesService instances on fakes, for tests of the spread of rules.
 #pragma once
 
+#include "qz_core/time/manualtimers.h"
 #include "qz_platform/tests/fakeobjectstore.h"
 #include "qz_platform/tests/faketable.h"
 #include "qz_rules/spread/rulesservice.h"
 #include "qz_rules/tests/documents.h"
-#include "qz_rules/tests/manualtimers.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -118,7 +118,7 @@
 
     Node &node(std::size_t index) { return *nodes_[index]; }
     std::size_t size() const { return nodes_.size(); }
-    TimePoint now() const { return timers_.clock().now(); }
+    TimePoint now() const { return clock_.now(); }
 
     /// Cuts messages from one instance to another, one way.
     void cut(std::size_t from, std::size_t to) { cuts_.emplace(from, to); }
@@ -268,7 +268,7 @@
                                 .setSelf(node.id_)
                                 .setTable(node.table_)
                                 .setObjects(objects_)
-                                .setClock(timers_.clock())
+                                .setClock(clock_)
                                 .setTimers(timers_)
                                 .setSeed(lives_)
                                 .setCallbacks(callbacks)
@@ -335,7 +335,8 @@
         outdated_ += isOutdated ? 1 : 0;
     }
 
-    ManualTimers timers_;
+    ManualClock clock_;
+    ManualTimers timers_{ clock_ };
     std::vector<std::unique_ptr<Node>> nodes_;
     std::set<std::pair<std::size_t, std::size_t>> cuts_;
     std::deque<std::function<void()>> messages_;
--- a/packages/qz_rules/tests/rulesstoretest.cpp
+++ b/packages/qz_rules/tests/rulesstoretest.cpp
@@ -1,10 +1,10 @@
 // Tests of publishing: two authors, lost answers of each step, and stops in between.
 #include "qz_rules/store/rulesstore.h"
 
+#include "qz_core/time/manualtimers.h"
 #include "qz_platform/tests/fakeobjectstore.h"
 #include "qz_platform/tests/faketable.h"
 #include "qz_rules/tests/documents.h"
-#include "qz_rules/tests/manualtimers.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -21,7 +21,8 @@
 {
     qz::FakeTable table_;
     qz::FakeObjectStore objects_;
-    qz::ManualTimers timers_;
+    qz::ManualClock clock_;
+    qz::ManualTimers timers_{ clock_ };
     qz::RulesStore store_{ table_, objects_, timers_ };
 
     /// Starts an attempt; @p outcome outlives it.
--- a/tests/testbed/testbed.cpp
+++ b/tests/testbed/testbed.cpp
@@ -39,7 +39,7 @@
     static int next = (getpid() * 131) % portCount;
     for (int tries = 0; tries < portCount; ++tries) {
         next = (next + 1) % portCount;
-        const Endpoint endpoint{ "127.0.0.1", static_cast<std::uint16_t>(lowestPort + next) };
+        Endpoint endpoint{ "127.0.0.1", static_cast<std::uint16_t>(lowestPort + next) };
         if (isFree(endpoint)) {
             return endpoint;
         }
