Open a new gate for a backend server that is listed at another address

Cause: a gate kept the address that it was made with, so that a server replaced under the same name would have got its work at the old address for ever. Ruled out: moving the connections of a gate, since a running request belongs to the old server. Before: the new test saw no request at the new address. After: it does.

--- a/packages/qz_gates/gate/gate.cpp
+++ b/packages/qz_gates/gate/gate.cpp
@@ -217,6 +217,7 @@
     request.headers_ = toHeaders(pending.request_.headers_);
     request.body_ = pending.request_.body_;
     const auto left = std::chrono::duration_cast<milliseconds>(pending.deadline_ - loop_.now());
+    request.headers_.remove("Expect"); // The caller was told to go on by this fleet.
     request.headers_.set("X-Deadline-Ms", std::to_string(left.count()));
     return request;
 }
--- a/packages/qz_gates/gate/gate.h
+++ b/packages/qz_gates/gate/gate.h
@@ -57,6 +57,9 @@
     double weight() const { return weight_.weight(); }
     const Verdict &verdict() const { return verdict_; }
 
+    /// Where the server was when the gate was made; a gate never moves to another address.
+    const Endpoint &endpoint() const { return connections_.server(); }
+
     /// Whether the server itself announced that it takes no new work.
     bool isDrainAnnounced() const { return isDrainAnnounced_; }
 
--- a/packages/qz_gates/gate/gateset.cpp
+++ b/packages/qz_gates/gate/gateset.cpp
@@ -60,7 +60,9 @@
 {
     for (auto gate = gates_.begin(); gate != gates_.end();) {
         const auto server = directory_.find(gate->first);
-        const bool isServing = server != nullptr && !server->isLeaving();
+        const bool hasMoved =
+                server != nullptr && server->listed_.endpoint_ != gate->second->endpoint();
+        const bool isServing = server != nullptr && !server->isLeaving() && !hasMoved;
         if (isServing) {
             gate->second->setServer(*server);
             if (!gate->second->isDrainAnnounced() && !isClosed_) {
@@ -69,7 +71,8 @@
         } else {
             gate->second->close(ErrorKind::Draining);
         }
-        const bool isDone = server == nullptr && gate->second->requestCount() == 0;
+        // A request for a server that is listed at another address opens a new gate.
+        const bool isDone = (server == nullptr || hasMoved) && gate->second->requestCount() == 0;
         gate = isDone ? gates_.erase(gate) : std::next(gate);
     }
 }
--- a/packages/qz_gates/tests/gatetest.cpp
+++ b/packages/qz_gates/tests/gatetest.cpp
@@ -1,5 +1,5 @@
 // Tests of a gate against backend servers that misbehave.
-#include "qz_gates/gate/gate.h"
+#include "qz_gates/gate/gateset.h"
 
 #include "qz_http/tests/rawsocket.h"
 
@@ -133,3 +133,35 @@
     other.gate_.cancel(qz::RequestId("view"));
     BOOST_TEST(other.gate_.requestCount() == 0U);
 }
+
+BOOST_AUTO_TEST_CASE(aServerListedAtAnotherAddressGetsANewGate)
+{
+    qz::EventLoop loop;
+    RawServer before(loop, [](bufferevent *stream, int /*reads*/) { write(stream, answer); });
+    RawServer after(loop, [](bufferevent *stream, int /*reads*/) { write(stream, answer); });
+    qz::BackendDirectory directory;
+    directory.setRules(qz::RuleSet::parse(R"({"ranks":[{"name":"r","order":0,"target_ms":100,
+        "share":0.5,"worth":1}],"kinds":[],"routes":[],"services":[],"workspaces":[],
+        "backend_servers":[]})")
+                               .value());
+    qz::GateSet gates(loop, directory);
+    int answered = 0;
+    for (const RawServer *server : { &before, &after }) {
+        qz::ListedBackendServer listed;
+        listed.id_ = qz::BackendServerId("b");
+        listed.endpoint_ = server->endpoint();
+        directory.setListing({ listed });
+        gates.applyDirectory();
+        qz::ExecuteRequest request;
+        request.requestId_ = qz::RequestId("1");
+        request.server_ = listed.id_;
+        request.timeLeft_ = 1s;
+        request.method_ = "GET";
+        request.target_ = "/";
+        gates.execute(request,
+                      [&](const qz::ExecuteAnswer &told) { answered += told.status_ == 200; });
+        loop.runFor(50ms);
+    }
+    BOOST_TEST(answered == 2);
+    BOOST_TEST(after.readCount() == 1);
+}
