Measure processor time below a second

Cause: the rest of an instance was printed as 0 % since whole seconds were divided. Before: 0 % at every size.

--- a/tests/testbed/measurements.cpp
+++ b/tests/testbed/measurements.cpp
@@ -81,7 +81,7 @@
     long user = 0;
     long system = 0;
     fields >> user >> system;
-    return std::chrono::seconds(user + system) / sysconf(_SC_CLK_TCK);
+    return Duration(std::chrono::seconds(user + system)) / sysconf(_SC_CLK_TCK);
 }
 
 double residentMegabytesOf(pid_t process)
