Read the whole change again: drop repeated and needless work

Ruled out as twins: the three admission policies (one interface of a variant), the fakes of table and object store, toAddress in a test and in the links. Conclusion: fewer lines in product code, less work for each request.

--- a/apps/quetzaldaled/rulesduty.cpp
+++ b/apps/quetzaldaled/rulesduty.cpp
@@ -145,12 +145,13 @@
 
 void RulesDuty::handleStatus(const std::shared_ptr<HttpExchange> &exchange)
 {
-    replyJson(*exchange, operations_->status().status_, dumpState());
+    constexpr int statusOk = 200;
+    replyJson(*exchange, statusOk, dumpState());
 }
 
 nlohmann::json RulesDuty::dumpState() const
 {
-    auto state = nlohmann::json::parse(operations_->status().body_);
+    auto state = operations_->describe();
     state["instance"] = parts_.view_.self().id_.value();
     state["rules_version"] = parts_.view_.rulesVersion(); // By which work is classified.
     return state;
--- a/packages/qz_core/logging/logger.cpp
+++ b/packages/qz_core/logging/logger.cpp
@@ -75,9 +75,14 @@
     rootLogger().removeAllAppenders();
 }
 
+bool isLogged(LogLevel level)
+{
+    return rootLogger().isEnabledFor(toLog4cplus(level));
+}
+
 void log(LogLevel level, std::string_view event, nlohmann::json fields)
 {
-    if (!rootLogger().isEnabledFor(toLog4cplus(level))) {
+    if (!isLogged(level)) {
         return;
     }
     using namespace std::chrono;
--- a/packages/qz_core/logging/logger.h
+++ b/packages/qz_core/logging/logger.h
@@ -25,6 +25,9 @@
     LogSession &operator=(const LogSession &) = delete;
 };
 
+/// Whether lines of @p level are written; for callers whose fields cost work to make.
+bool isLogged(LogLevel level);
+
 /// Writes one JSON line: time, level, instance, event and the members of @p fields.
 /// Never pass a key, token or other secret.
 void log(LogLevel level, std::string_view event, nlohmann::json fields = nlohmann::json::object());
--- a/packages/qz_core/loop/eventloop.cpp
+++ b/packages/qz_core/loop/eventloop.cpp
@@ -1,6 +1,8 @@
 // The event loop on libevent.
 #include "qz_core/loop/eventloop.h"
 
+#include "qz_core/loop/timevalue.h"
+
 #include <event2/event.h>
 
 #include <utility>
@@ -9,17 +11,6 @@
 
 namespace {
 
-timeval toTimeval(Duration duration)
-{
-    using namespace std::chrono;
-    const auto whole = duration_cast<seconds>(duration);
-    const auto rest = duration_cast<microseconds>(duration - whole);
-    timeval value{};
-    value.tv_sec = whole.count();
-    value.tv_usec = rest.count();
-    return value;
-}
-
 /// One libevent event with the work it runs. The work may drop the handle itself.
 class LoopEvent : public Timers::Handle
 {
--- a/packages/qz_gates/directory/backenddirectory.h
+++ b/packages/qz_gates/directory/backenddirectory.h
@@ -33,8 +33,8 @@
     void setRules(std::shared_ptr<const RuleSet> rules);
     void setListing(std::vector<ListedBackendServer> listing);
 
-    /// The servers that match the selector of @p kind, leaving ones included.
-    /// @p kind must be one of the rules in force.
+    /// The servers that match the selector that a kind of this name has in the rules in force,
+    /// leaving ones included; none if there is no such kind any more.
     const Servers &serversFor(const WorkKind &kind) const;
 
     /// The server with this id; nullptr if there is none.
--- a/packages/qz_gates/gate/gate.cpp
+++ b/packages/qz_gates/gate/gate.cpp
@@ -228,7 +228,7 @@
     digest.queued_ = queue_.queued();
     digest.running_ = queue_.running();
     digest.slots_ = queue_.slots();
-    for (std::size_t rank = 0; rank < rankCount(); ++rank) {
+    for (std::size_t rank = 0; rank < rankCount_; ++rank) {
         digest.waitByRank_.push_back(queue_.estimatedWait(rank, loop_.now()));
     }
     digest.weight_ = closedFor_ ? 0.0 : weight_.weight();
--- a/packages/qz_gates/gate/gate.h
+++ b/packages/qz_gates/gate/gate.h
@@ -85,7 +85,6 @@
     void fail(std::uint64_t id, ErrorKind kind, const std::string &message);
     void answer(std::uint64_t id, ExecuteAnswer answer);
     HttpRequest makeRequest(const Pending &pending) const;
-    std::size_t rankCount() const { return rankCount_; }
 
     EventLoop &loop_;
     const BackendServerId server_;
--- a/packages/qz_http/server/httpserver.cpp
+++ b/packages/qz_http/server/httpserver.cpp
@@ -1,6 +1,7 @@
 // The server on libevhtp: its hooks, and what becomes of each request.
 #include "qz_http/server/httpserver.h"
 
+#include "qz_core/loop/timevalue.h"
 #include "qz_http/server/lingeringclose.h"
 
 #include <evhtp/evhtp.h>
@@ -14,13 +15,6 @@
 constexpr int listenBacklog = 1024;
 constexpr Duration lingerLimit = std::chrono::seconds(2);
 
-timeval toTimeval(Duration duration)
-{
-    timeval value{};
-    value.tv_sec = std::chrono::duration_cast<std::chrono::seconds>(duration).count();
-    return value;
-}
-
 } // namespace
 
 /// The hooks of evhtp, in the order in which they run for a connection and its requests.
--- a/packages/qz_proxy/entry/digestbook.cpp
+++ b/packages/qz_proxy/entry/digestbook.cpp
@@ -10,13 +10,6 @@
     entry.at_ = now;
 }
 
-void DigestBook::recordRoundTrip(const BackendServerId &server, Duration roundTrip)
-{
-    constexpr int smoothing = 8; // Each new value counts for an eighth.
-    Entry &entry = entries_[server];
-    entry.roundTrip_ += (roundTrip - entry.roundTrip_) / smoothing;
-}
-
 void DigestBook::fill(ServerCandidate &candidate, TimePoint now) const
 {
     const auto found = entries_.find(candidate.id_);
@@ -24,7 +17,6 @@
         return;
     }
     const Entry &entry = found->second;
-    candidate.roundTrip_ = entry.roundTrip_;
     const Duration age = now - entry.at_;
     if (age > digestLifetime) {
         return;
--- a/packages/qz_proxy/entry/digestbook.h
+++ b/packages/qz_proxy/entry/digestbook.h
@@ -8,12 +8,11 @@
 
 namespace qz {
 
-/// Remembers the digest that each answer of a gate carries, and how long the way takes.
+/// Remembers the digest that each answer of a gate carries.
 class DigestBook
 {
 public:
     void record(const BackendServerId &server, const GateDigest &digest, TimePoint now);
-    void recordRoundTrip(const BackendServerId &server, Duration roundTrip);
 
     /// Fills what is known of the server into @p candidate.
     void fill(ServerCandidate &candidate, TimePoint now) const;
@@ -29,7 +28,6 @@
     {
         GateDigest digest_;
         TimePoint at_;
-        Duration roundTrip_{};
     };
 
     std::unordered_map<BackendServerId, Entry> entries_;
--- a/packages/qz_proxy/entry/requestrun.cpp
+++ b/packages/qz_proxy/entry/requestrun.cpp
@@ -171,13 +171,7 @@
 {
     // A newer rule set may be in force by now; its servers count, with the kind's name.
     std::vector<ServerCandidate> candidates;
-    const auto &kinds = parts_.view_.rules()->kinds();
-    const auto sameName = [this](const WorkKind &kind) { return kind.name_ == kind_->name_; };
-    const auto kind = std::find_if(kinds.begin(), kinds.end(), sameName);
-    if (kind == kinds.end()) {
-        return candidates;
-    }
-    for (const auto &server : parts_.view_.directory().serversFor(*kind)) {
+    for (const auto &server : parts_.view_.directory().serversFor(*kind_)) {
         if (server->isLeaving() || triedServers_.count(server->listed_.id_) > 0) {
             continue;
         }
@@ -296,7 +290,9 @@
     record_.outcome_ = toString(outcome);
     record_.took_ = parts_.loop_.now() - arrivedAt_;
     const LogLevel level = outcome == Outcome::Answered ? LogLevel::Debug : LogLevel::Info;
-    log(level, "request", record_.toJson());
+    if (isLogged(level)) {
+        log(level, "request", record_.toJson());
+    }
     parts_.metrics_.record(record_);
     parts_.journal_.add(record_);
 }
--- a/packages/qz_rules/operators/rulesoperations.cpp
+++ b/packages/qz_rules/operators/rulesoperations.cpp
@@ -3,8 +3,6 @@
 
 #include "qz_core/ids/randomid.h"
 
-#include <nlohmann/json.hpp>
-
 #include <charconv>
 #include <utility>
 
@@ -89,20 +87,23 @@
 }
 
 RulesReply RulesOperations::status() const
+{
+    return RulesReply{ 200, dump(describe()), service_.status().digest_.adopted_.version_ };
+}
+
+nlohmann::json RulesOperations::describe() const
 {
     const RulesStatus status = service_.status();
-    return RulesReply{ 200,
-                       dump({ { "adopted", toJson(status.digest_.adopted_) },
-                              { "known", toJson(status.digest_.known_) },
-                              { "hash", status.hash_ },
-                              { "author", status.author_ },
-                              { "in_force", status.isInForce_ },
-                              { "accepted", status.isEstablished_ },
-                              { "confirmation_age_ms", toJson(status.confirmationAge_) },
-                              { "table_age_ms", toJson(status.tableAge_) },
-                              { "poller", status.isPoller_ },
-                              { "voters", status.voterCount_ } }),
-                       status.digest_.adopted_.version_ };
+    return { { "adopted", toJson(status.digest_.adopted_) },
+             { "known", toJson(status.digest_.known_) },
+             { "hash", status.hash_ },
+             { "author", status.author_ },
+             { "in_force", status.isInForce_ },
+             { "accepted", status.isEstablished_ },
+             { "confirmation_age_ms", toJson(status.confirmationAge_) },
+             { "table_age_ms", toJson(status.tableAge_) },
+             { "poller", status.isPoller_ },
+             { "voters", status.voterCount_ } };
 }
 
 } // namespace qz
--- a/packages/qz_rules/operators/rulesoperations.h
+++ b/packages/qz_rules/operators/rulesoperations.h
@@ -4,6 +4,8 @@
 
 #include "qz_rules/spread/rulesservice.h"
 
+#include <nlohmann/json.hpp>
+
 #include <functional>
 #include <optional>
 #include <string>
@@ -48,6 +50,8 @@
 
     /// Versions, proof and voters of this instance.
     RulesReply status() const;
+    /// The same as a value, for state dumps.
+    nlohmann::json describe() const;
 
 private:
     RulesService &service_;
