Serve callers on the users' platform through a new streaming path

The daemon gets a command, serve: callers' requests are streamed by libevent and libevhtp's parser to backend servers that the platform's store lists. platform/ decodes the store, the configuration and the entries of backend servers; the decisions (placement, holds of failing servers, retry budget) stand in packages of their own. Before: nothing served on the platform.

--- a/apps/quetzaldaled/main.cpp
+++ b/apps/quetzaldaled/main.cpp
@@ -1,5 +1,6 @@
 // The daemon's program: reads settings, then runs one Daemon until it is told to stop.
 #include "quetzaldaled/daemon.h"
+#include "quetzaldaled/serve/servedaemon.h"
 
 #include <docopt/docopt.h>
 
@@ -13,8 +14,12 @@
 constexpr const char *usage = R"(quetzaldaled: one instance of the quetzaldale proxy fleet
 
 Usage:
+  quetzaldaled serve [options]
   quetzaldaled [options]
 
+"quetzaldaled serve --help" lists the options of an instance on the platform's
+store; those below are of an instance with its own rules and backend list.
+
 Every option may also be given as an environment variable: --peer-address is
 QUETZALDALE_PEER_ADDRESS. An option goes before its variable. The two secrets
 are taken from the environment only: QUETZALDALE_FLEET_KEY, shared by all
@@ -44,10 +49,49 @@
 the drain limit was reached with requests in flight.
 )";
 
-qz::SettingsReader::Values readFlags(int argc, char **argv)
+constexpr const char *serveUsage = R"(quetzaldaled serve: one instance on the platform's store
+
+Usage:
+  quetzaldaled serve [options]
+
+Every option may also be given as an environment variable: --peer-address is
+QUETZALDALE_PEER_ADDRESS. An option goes before its variable. The secret is
+taken from the environment only: QUETZALDALE_FLEET_KEY, shared by all
+instances; 16 characters at least.
+
+Options:
+  --instance-id=ID            name of this instance
+  --region=NAME               where this instance stands
+  --failure-domain=NAME       where in the region
+  --failure-domains=LIST      all of them, as domain=region,domain=region
+  --caller-address=IP:PORT    listens for callers' requests
+  --ready-address=IP:PORT     listens for questions whether it is ready
+  --directory-address=IP:PORT listens for callers that ask where to connect
+  --metrics-address=IP:PORT   serves Prometheus metrics at /metrics
+  --peer-address=IP:PORT      listens for other instances
+  --store-address=IP:PORT     the platform's store
+  --entries-per-domain=N      instances that a failure domain's callers use; 2
+  --retry-budget-ratio=X      second tries for each request, all instances; 0.2
+  --retry-budget-slack=X      second tries on top in each window; 10
+  --retry-budget-window-s=X   the window of the two; 10
+  --address-keep-s=X          how long callers keep an address; 1
+  --stop-limit-s=X            from the signal to stop until it ends at last; 6
+  --log-level=LEVEL           debug, info, warning or error; info
+  --print-settings            prints the settings without the secret, and ends
+  -h --help                   prints this text
+
+Signals: SIGTERM and SIGINT stop the instance gracefully; SIGUSR1 writes a
+state dump to the log; SIGHUP is logged and changes nothing. Exit status: 0
+after a stop, 2 for bad settings or an address that cannot be had.
+)";
+
+qz::SettingsReader::Values readFlags(const char *text, int argc, char **argv)
 {
     qz::SettingsReader::Values flags;
-    for (const auto &[name, value] : docopt::docopt(usage, { argv + 1, argv + argc }, true)) {
+    for (const auto &[name, value] : docopt::docopt(text, { argv + 1, argv + argc }, true)) {
+        if (name.substr(0, 2) != "--") {
+            continue;
+        }
         if (value.isString()) {
             flags.emplace(name.substr(2), value.asString());
         } else if (value.isBool() && value.asBool()) {
@@ -57,13 +101,12 @@
     return flags;
 }
 
-} // namespace
-
-int main(int argc, char **argv)
+/// Reads the settings and runs; for both kinds of instance.
+template<typename Settings, typename DaemonType>
+int runDaemon(const qz::SettingsReader::Values &flags)
 {
-    const auto flags = readFlags(argc, argv);
     qz::SettingsReader reader(flags, qz::SettingsReader::readEnvironment());
-    const auto settings = qz::DaemonSettings::read(reader);
+    const auto settings = Settings::read(reader);
     for (const std::string &problem : reader.problems()) {
         std::cerr << problem << "\n";
     }
@@ -75,6 +118,17 @@
         return 0;
     }
     const qz::LogSession logs(settings.logLevel_, settings.instanceId_.value());
-    qz::Daemon daemon(settings);
+    DaemonType daemon(settings);
     return daemon.run();
 }
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const bool isServing = argc > 1 && std::string_view(argv[1]) == "serve";
+    if (isServing) {
+        return runDaemon<qz::ServeSettings, qz::ServeDaemon>(readFlags(serveUsage, argc, argv));
+    }
+    return runDaemon<qz::DaemonSettings, qz::Daemon>(readFlags(usage, argc, argv));
+}
--- /dev/null
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -0,0 +1,277 @@
+// The parts of an instance, joined.
+#include "quetzaldaled/serve/servedaemon.h"
+
+#include "platform/platformnames.h"
+#include "qz_core/ids/randomid.h"
+#include "qz_core/logging/logger.h"
+
+#include <csignal>
+#include <utility>
+
+namespace qz {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration tickPeriod = 1s;
+constexpr Duration stopCheckPeriod = 100ms;
+/// Left of the stop limit for the last answers to reach their callers.
+constexpr Duration stopMargin = 300ms;
+/// Callers may keep an address so many times as long as they were told.
+constexpr int addressKeepFactor = 3;
+/// Of the slack of retry budgets: the part that the entries share.
+constexpr double entrySlackPart = 0.85;
+constexpr int exitCannotListen = 2;
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+
+HttpHead makeHead(int status, const std::string &type)
+{
+    HttpHead head;
+    head.status_ = status;
+    head.headers_.add("Content-Type", type);
+    return head;
+}
+
+} // namespace
+
+ServeDaemon::ServeDaemon(ServeSettings settings)
+    : settings_(std::move(settings))
+    , incarnation_(makeRandomId())
+    , backends_(loop_)
+    , forwarder_(loop_, makeForwardSettings(), backends_, metrics_)
+    , directory_(makeSelf(), [this] {
+        InstanceDirectory::Limits limits;
+        limits.entriesPerDomain_ = settings_.entriesPerDomain_;
+        return limits;
+    }())
+    , links_(makeLinks())
+    , presence_(loop_, *links_, directory_)
+    , platform_(loop_, { settings_.storeAddress_, settings_.regions_, makeSelf() }, backends_,
+                makeAdapterHandlers())
+    , callers_(loop_, {}, [this](const auto &exchange) { forwarder_.handle(exchange); })
+    , ready_(loop_, {}, [this](const auto &exchange) { answerControl(exchange); })
+    , directoryServer_(loop_, {}, [this](const auto &exchange) { answerControl(exchange); })
+    , metricsServer_(loop_, {}, [this](const auto &exchange) { answerControl(exchange); })
+{
+    forwarder_.setHealthListener([this](const Backend &server, Duration hold) {
+        presence_.sendNote({ server.listed().id_, server.listed().incarnation_, hold });
+    });
+    presence_.setNoteHandler([this](const HealthNoteMessage &note) { applyNote(note); });
+}
+
+int ServeDaemon::run()
+{
+    const auto listening = listen();
+    if (listening.has_error()) {
+        log(LogLevel::Error, "start-failed", { { "message", listening.error().message_ } });
+        return exitCannotListen;
+    }
+    watchSignals();
+    presence_.start();
+    platform_.start();
+    handles_.push_back(loop_.callEvery(tickPeriod, [this] { tick(); }));
+    log(LogLevel::Info, "started",
+        { { "settings", settings_.toJson() }, { "incarnation", incarnation_ } });
+    loop_.run();
+    log(LogLevel::Info, "stopped", { { "running_requests", forwarder_.runningCount() } });
+    return 0;
+}
+
+InstanceRecord ServeDaemon::makeSelf() const
+{
+    return { settings_.instanceId_, settings_.callerAddress_, settings_.peerAddress_,
+             settings_.location_ };
+}
+
+std::unique_ptr<PeerLinks> ServeDaemon::makeLinks()
+{
+    PeerLinks::Builder builder;
+    builder.setLoop(loop_);
+    builder.setSelf(settings_.instanceId_, incarnation_);
+    builder.setListenEndpoint(settings_.peerAddress_);
+    builder.setFleetKey(settings_.fleetKey_);
+    return builder.build();
+}
+
+ForwardSettings ServeDaemon::makeForwardSettings() const
+{
+    ForwardSettings forward;
+    forward.location_ = settings_.location_;
+    forward.headers_ = platform::makeForwardHeaders();
+    forward.retryBudget_ = settings_.retryBudget_;
+    return forward;
+}
+
+platform::PlatformAdapter::Handlers ServeDaemon::makeAdapterHandlers()
+{
+    platform::PlatformAdapter::Handlers handlers;
+    handlers.takeRoutes_ = [this](const auto &routes) { applyRoutes(routes); };
+    handlers.takeInstances_ = [this](const auto &records) { presence_.addInstances(records); };
+    handlers.backendsKnown_ = [this] {
+        areBackendsKnown_ = true;
+        updateReady();
+    };
+    handlers.callEnded_ = [this](const std::string &call, const std::string &outcome) {
+        metrics_.countStoreCall(call, outcome);
+    };
+    return handlers;
+}
+
+Result<void> ServeDaemon::listen()
+{
+    BOOST_OUTCOME_TRY(links_->start());
+    BOOST_OUTCOME_TRY(callers_.listen(settings_.callerAddress_));
+    BOOST_OUTCOME_TRY(ready_.listen(settings_.readyAddress_));
+    BOOST_OUTCOME_TRY(directoryServer_.listen(settings_.directoryAddress_));
+    return metricsServer_.listen(settings_.metricsAddress_);
+}
+
+void ServeDaemon::watchSignals()
+{
+    for (const int number : { SIGTERM, SIGINT }) {
+        handles_.push_back(loop_.onSignal(number, [this] { startStopping(); }));
+    }
+    handles_.push_back(loop_.onSignal(SIGHUP, [] {
+        // Settings come from flags and the environment, which do not change while it runs.
+        log(LogLevel::Info, "reload-ignored");
+    }));
+    handles_.push_back(
+            loop_.onSignal(SIGUSR1, [this] { log(LogLevel::Info, "state-dump", dumpState()); }));
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+void ServeDaemon::applyRoutes(const std::shared_ptr<const RoutingTable> &routes)
+{
+    forwarder_.setRoutes(routes);
+    metrics_.setConfigVersion(static_cast<double>(routes->version()));
+    CallerLimits limits;
+    limits.headBytes_ = routes->limits().headerBytes_;
+    limits.bodyBytes_ = routes->limits().bodyBytes_;
+    limits.headTimeout_ = routes->limits().headerTimeout_;
+    limits.idleTimeout_ = routes->limits().idleTimeout_;
+    callers_.setLimits(limits);
+    updateReady();
+}
+
+void ServeDaemon::applyNote(const HealthNoteMessage &note)
+{
+    const auto server = backends_.find(note.server_);
+    if (server == nullptr || server->listed().incarnation_ != note.incarnation_) {
+        return;
+    }
+    if (note.hold_ > Duration::zero()) {
+        server->health().adoptHold(note.hold_, loop_.now());
+    } else {
+        server->health().adoptRecovery(loop_.now());
+    }
+}
+
+void ServeDaemon::updateReady()
+{
+    presence_.setReady(areBackendsKnown_ && forwarder_.routes() != nullptr && !isStopping_);
+}
+
+void ServeDaemon::tick()
+{
+    backends_.dropIdle();
+    metrics_.setBackendCount(static_cast<double>(backends_.size()));
+    metrics_.setConnectionCount(static_cast<double>(callers_.connectionCount()));
+    const double entries = static_cast<double>(directory_.domainCount())
+            * static_cast<double>(directory_.entriesPerDomain());
+    const double others = static_cast<double>(directory_.all().size() + 1);
+    const bool isEntry = directory_.isEntry(loop_.now());
+    forwarder_.setSlackPart(isEntry ? entrySlackPart / entries : (1.0 - entrySlackPart) / others);
+}
+
+void ServeDaemon::startStopping()
+{
+    if (isStopping_) {
+        return;
+    }
+    isStopping_ = true;
+    stoppingSince_ = loop_.now();
+    log(LogLevel::Info, "stopping", { { "running_requests", forwarder_.runningCount() } });
+    updateReady();
+    callers_.startClosing();
+    handles_.push_back(loop_.callEvery(stopCheckPeriod, [this] { checkStopped(); }));
+}
+
+void ServeDaemon::checkStopped()
+{
+    const Duration since = loop_.now() - stoppingSince_;
+    if (since < settings_.addressKeepTime_ * addressKeepFactor) {
+        return;
+    }
+    callers_.closeIdleConnections();
+    const bool isDone = callers_.connectionCount() == 0 && forwarder_.runningCount() == 0;
+    if (isDone || since > settings_.stopLimit_ - stopMargin) {
+        loop_.stop();
+    }
+}
+
+void ServeDaemon::answerControl(const std::shared_ptr<CallerExchange> &exchange)
+{
+    const std::string_view path = pathOf(exchange->head().target_);
+    if (path == platform::readyPath) {
+        const bool isReady = areBackendsKnown_ && forwarder_.routes() != nullptr && !isStopping_;
+        exchange->reply(makeHead(isReady ? statusOk : statusUnavailable, "text/plain"),
+                        isReady ? "ready\n" : "not ready\n");
+    } else if (path == platform::directoryPath) {
+        answerDirectory(exchange);
+    } else if (path == "/metrics") {
+        exchange->reply(makeHead(statusOk, "text/plain; version=0.0.4"), metrics_.format());
+    } else {
+        exchange->reply(makeHead(statusNotFound, "text/plain"), "not found\n");
+    }
+}
+
+void ServeDaemon::answerDirectory(const std::shared_ptr<CallerExchange> &exchange)
+{
+    nlohmann::json addresses = nlohmann::json::array();
+    for (const InstanceRecord &entry : directory_.entries(loop_.now())) {
+        addresses.push_back(toString(entry.callerEndpoint_));
+    }
+    if (addresses.empty()) {
+        exchange->reply(makeHead(statusUnavailable, "text/plain"), "no instance is ready\n");
+        return;
+    }
+    const nlohmann::json answer{
+        { "Addresses", std::move(addresses) },
+        { "TtlS", std::chrono::duration<double>(settings_.addressKeepTime_).count() }
+    };
+    exchange->reply(makeHead(statusOk, "application/json"), answer.dump());
+}
+
+nlohmann::json ServeDaemon::dumpState() const
+{
+    nlohmann::json servers = nlohmann::json::array();
+    for (const auto &[id, server] : backends_.all()) {
+        servers.push_back(
+                { { "server", id.value() },
+                  { "service", server->listed().service_.value() },
+                  { "draining", server->listed().isDraining_ },
+                  { "in_flight", server->inFlight() },
+                  { "idle_connections", server->idleCount() },
+                  { "good", server->health().state(loop_.now()) == ServerHealth::State::Good } });
+    }
+    nlohmann::json entries = nlohmann::json::array();
+    for (const InstanceRecord &entry : directory_.entries(loop_.now())) {
+        entries.push_back(entry.id_.value());
+    }
+    return { { "instance", settings_.instanceId_.value() },
+             { "incarnation", incarnation_ },
+             { "config_version",
+               forwarder_.routes() == nullptr ? 0 : forwarder_.routes()->version() },
+             { "stopping", isStopping_ },
+             { "servers", std::move(servers) },
+             { "entries", std::move(entries) },
+             { "instances", directory_.all().size() + 1 },
+             { "links", links_->dumpState() },
+             { "caller_connections", callers_.connectionCount() },
+             { "running_requests", forwarder_.runningCount() } };
+}
+
+} // namespace qz
--- /dev/null
+++ b/apps/quetzaldaled/serve/servedaemon.h
@@ -0,0 +1,68 @@
+// One instance on the platform: all its parts on one event loop.
+#pragma once
+
+#include "platform/platformadapter.h"
+#include "qz_core/loop/eventloop.h"
+#include "qz_fleet/links/peerlinks.h"
+#include "qz_forward/qz_forward.h"
+#include "qz_http/stream/callerserver.h"
+#include "qz_presence/qz_presence.h"
+#include "quetzaldaled/serve/servesettings.h"
+
+#include <memory>
+#include <vector>
+
+namespace qz {
+
+/// Serves callers, the directory, readiness and metrics until it is told to stop. A stop
+/// takes it out of the directory at once; it goes on serving whoever still comes, and ends
+/// when nobody has come for a while or its limit is near.
+/// @see Forwarder, PlatformAdapter, PresenceDriver
+class ServeDaemon
+{
+public:
+    explicit ServeDaemon(ServeSettings settings);
+    ServeDaemon(const ServeDaemon &) = delete;
+    ServeDaemon &operator=(const ServeDaemon &) = delete;
+
+    /// Runs; the exit status of the process.
+    int run();
+
+private:
+    InstanceRecord makeSelf() const;
+    std::unique_ptr<PeerLinks> makeLinks();
+    platform::PlatformAdapter::Handlers makeAdapterHandlers();
+    ForwardSettings makeForwardSettings() const;
+    Result<void> listen();
+    void watchSignals();
+    void applyRoutes(const std::shared_ptr<const RoutingTable> &routes);
+    void applyNote(const HealthNoteMessage &note);
+    void updateReady();
+    void tick();
+    void startStopping();
+    void checkStopped();
+    void answerControl(const std::shared_ptr<CallerExchange> &exchange);
+    void answerDirectory(const std::shared_ptr<CallerExchange> &exchange);
+    nlohmann::json dumpState() const;
+
+    const ServeSettings settings_;
+    const std::string incarnation_;
+    EventLoop loop_;
+    ForwardMetrics metrics_;
+    BackendTable backends_;
+    Forwarder forwarder_;
+    InstanceDirectory directory_;
+    std::unique_ptr<PeerLinks> links_;
+    PresenceDriver presence_;
+    platform::PlatformAdapter platform_;
+    CallerServer callers_;
+    CallerServer ready_;
+    CallerServer directoryServer_;
+    CallerServer metricsServer_;
+    bool areBackendsKnown_ = false;
+    bool isStopping_ = false;
+    TimePoint stoppingSince_{};
+    std::vector<Timers::HandlePtr> handles_;
+};
+
+} // namespace qz
--- a/packages/qz_fleet/messages/messagekind.cpp
+++ b/packages/qz_fleet/messages/messagekind.cpp
@@ -22,6 +22,8 @@
     "opinion-request",
     "opinion-answer",
     "membership-gossip",
+    "presence",
+    "health-note",
 };
 
 } // namespace
--- a/packages/qz_fleet/messages/messagekind.h
+++ b/packages/qz_fleet/messages/messagekind.h
@@ -24,10 +24,12 @@
     OpinionRequest = 11,
     OpinionAnswer = 12,
     MembershipGossip = 13, ///< Heartbeats and member updates. @see Membership
+    Presence = 14,         ///< An instance is live. @see PresenceDriver
+    HealthNote = 15,       ///< What an instance found out about a backend server.
 };
 
 /// One more than the highest value of a kind.
-constexpr std::size_t messageKindEnd = 14;
+constexpr std::size_t messageKindEnd = 16;
 
 /// The kind with the value @p value on the wire, if there is one.
 std::optional<MessageKind> messageKindFromValue(std::uint64_t value);
--- /dev/null
+++ b/packages/qz_forward/backends/backendtable.cpp
@@ -0,0 +1,136 @@
+// Changes of the list of backend servers.
+#include "qz_forward/backends/backendtable.h"
+
+#include "qz_core/logging/logger.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace qz {
+
+namespace {
+
+nlohmann::json describe(const ListedBackend &listed)
+{
+    return { { "server", listed.id_.value() },
+             { "incarnation", listed.incarnation_ },
+             { "service", listed.service_.value() },
+             { "address", toString(listed.endpoint_) },
+             { "failure_domain", listed.location_.failureDomain_.value() },
+             { "draining", listed.isDraining_ } };
+}
+
+} // namespace
+
+BackendTable::BackendTable(EventLoop &loop)
+    : loop_(loop)
+{
+}
+
+void BackendTable::put(const ListedBackend &listed)
+{
+    missing_.erase(listed.id_);
+    const auto found = servers_.find(listed.id_);
+    if (found != servers_.end()) {
+        const ListedBackend &known = found->second->listed();
+        const bool isSame = known.incarnation_ == listed.incarnation_
+                && known.endpoint_ == listed.endpoint_ && known.service_ == listed.service_;
+        if (isSame) {
+            if (known.isDraining_ != listed.isDraining_) {
+                log(LogLevel::Info, "backend-changed", describe(listed));
+            }
+            found->second->update(listed);
+            return;
+        }
+        erase(listed.id_);
+    }
+    log(LogLevel::Info, "backend-listed", describe(listed));
+    const auto server = std::make_shared<Backend>(loop_, listed);
+    servers_[listed.id_] = server;
+    services_[listed.service_].push_back(server);
+}
+
+void BackendTable::remove(const BackendServerId &id)
+{
+    if (servers_.count(id) == 0) {
+        return;
+    }
+    if (loop_.now() < graceUntil_) {
+        missing_[id] = true;
+        return;
+    }
+    erase(id);
+}
+
+void BackendTable::replaceAll(const std::vector<ListedBackend> &listed)
+{
+    std::set<BackendServerId> present;
+    for (const ListedBackend &entry : listed) {
+        present.insert(entry.id_);
+        put(entry);
+    }
+    std::vector<BackendServerId> absent;
+    for (const auto &[id, server] : servers_) {
+        if (present.count(id) == 0) {
+            absent.push_back(id);
+        }
+    }
+    for (const BackendServerId &id : absent) {
+        remove(id);
+    }
+}
+
+void BackendTable::startGrace(Duration grace)
+{
+    graceUntil_ = loop_.now() + grace;
+    graceEnd_ = loop_.callAfter(grace, [this] { endGrace(); });
+}
+
+void BackendTable::endGrace()
+{
+    for (const auto &[id, isMissing] : std::exchange(missing_, {})) {
+        erase(id);
+    }
+}
+
+void BackendTable::erase(const BackendServerId &id)
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end()) {
+        return;
+    }
+    const ServerPtr server = found->second;
+    log(LogLevel::Info, "backend-gone", describe(server->listed()));
+    servers_.erase(found);
+    detach(server);
+    server->close();
+}
+
+void BackendTable::detach(const ServerPtr &server)
+{
+    auto &group = services_[server->listed().service_];
+    group.erase(std::remove(group.begin(), group.end(), server), group.end());
+}
+
+const std::vector<BackendTable::ServerPtr> &BackendTable::serversOf(const ServiceId &service) const
+{
+    static const std::vector<ServerPtr> none;
+    const auto found = services_.find(service);
+    return found == services_.end() ? none : found->second;
+}
+
+BackendTable::ServerPtr BackendTable::find(const BackendServerId &id) const
+{
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? nullptr : found->second;
+}
+
+void BackendTable::dropIdle()
+{
+    for (const auto &[id, server] : servers_) {
+        server->dropIdle(loop_.now());
+    }
+}
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_forward/run/forwarder.cpp
@@ -0,0 +1,90 @@
+// What the requests of an instance share.
+#include "qz_forward/run/forwarder.h"
+
+#include "qz_core/logging/logger.h"
+#include "qz_forward/run/forwardrun.h"
+
+#include <utility>
+
+namespace qz {
+
+Forwarder::Forwarder(EventLoop &loop, ForwardSettings settings, BackendTable &backends,
+                     ForwardMetrics &metrics)
+    : loop_(loop)
+    , settings_(std::move(settings))
+    , backends_(backends)
+    , metrics_(metrics)
+    , random_(std::random_device{}())
+{
+}
+
+Forwarder::~Forwarder() = default;
+
+void Forwarder::setSlackPart(double slackPart)
+{
+    slackPart_ = slackPart;
+    for (auto &[service, allowance] : allowances_) {
+        allowance.setSlackPart(slackPart);
+    }
+}
+
+RetryAllowance &Forwarder::allowance(const ServiceId &service)
+{
+    return allowances_.try_emplace(service, settings_.retryBudget_, slackPart_).first->second;
+}
+
+void Forwarder::handle(const std::shared_ptr<CallerExchange> &exchange)
+{
+    auto run = std::make_unique<ForwardRun>(*this, exchange, routes_);
+    ForwardRun &started = *run;
+    runs_.emplace(run.get(), std::move(run));
+    started.start();
+}
+
+void Forwarder::recordTry(Backend &server, TryResult result, Duration took)
+{
+    const TimePoint now = loop_.now();
+    const auto before = server.health().state(now);
+    const ServiceId &service = server.listed().service_;
+    metrics_.countTry(service.value(), result);
+    if (result == TryResult::Answered) {
+        latencies_[service].record(took);
+    }
+    if (server.health().record(result, took, now)) {
+        const Duration hold = server.health().heldUntil() - now;
+        metrics_.countHold(service.value());
+        log(LogLevel::Info, "server-held",
+            { { "server", server.listed().id_.value() },
+              { "service", service.value() },
+              { "cause", toString(result) },
+              { "hold_ms", std::chrono::duration_cast<std::chrono::milliseconds>(hold).count() },
+              { "in_flight", server.inFlight() } });
+        if (healthListener_) {
+            healthListener_(server, hold);
+        }
+        return;
+    }
+    if (before != ServerHealth::State::Good
+        && server.health().state(now) == ServerHealth::State::Good) {
+        log(LogLevel::Info, "server-recovered",
+            { { "server", server.listed().id_.value() }, { "service", service.value() } });
+        if (healthListener_) {
+            healthListener_(server, Duration::zero());
+        }
+    }
+}
+
+void Forwarder::dropLater(ForwardRun *run)
+{
+    ended_.insert(run);
+    if (drop_ == nullptr) {
+        drop_ = loop_.callAfter(Duration::zero(), [this] {
+            drop_.reset();
+            for (ForwardRun *ended : std::exchange(ended_, {})) {
+                runs_.erase(ended);
+            }
+        });
+    }
+}
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_forward/run/forwarder.h
@@ -0,0 +1,93 @@
+// Takes callers' requests and runs each to its answer.
+#pragma once
+
+#include "qz_core/loop/eventloop.h"
+#include "qz_forward/backends/backendtable.h"
+#include "qz_forward/observability/forwardmetrics.h"
+#include "qz_forward/run/forwardheaders.h"
+#include "qz_http/stream/callerexchange.h"
+#include "qz_placement/qz_placement.h"
+#include "qz_routing/qz_routing.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace qz {
+
+class ForwardRun;
+
+/// What the forwarding of requests is set to.
+struct ForwardSettings
+{
+    Location location_; ///< Of this instance.
+    ForwardHeaders headers_;
+    RetryBudgetLimits retryBudget_;
+    PlacementCosts costs_;
+    /// Ends a connection to a backend server that went silent.
+    Duration silenceLimit_ = std::chrono::seconds(2);
+    /// For a new connection to a backend server; another one is tried then.
+    Duration connectTimeout_ = std::chrono::milliseconds(300);
+};
+
+/// The requests of one instance, with what they share: the routes in force, the backend
+/// servers, latencies and retry budgets by service.
+/// @see ForwardRun
+class Forwarder
+{
+public:
+    /// Runs when this instance starts to hold a server, with the length of the hold, or
+    /// when a server on trial has recovered, with zero.
+    using HealthListener = std::function<void(const Backend &server, Duration hold)>;
+
+    Forwarder(EventLoop &loop, ForwardSettings settings, BackendTable &backends,
+              ForwardMetrics &metrics);
+    ~Forwarder();
+    Forwarder(const Forwarder &) = delete;
+    Forwarder &operator=(const Forwarder &) = delete;
+
+    /// The routes of requests that come from now on.
+    void setRoutes(std::shared_ptr<const RoutingTable> routes) { routes_ = std::move(routes); }
+    const std::shared_ptr<const RoutingTable> &routes() const { return routes_; }
+
+    void setHealthListener(HealthListener listener) { healthListener_ = std::move(listener); }
+
+    /// This instance's part of the slack of retry budgets. @see RetryAllowance
+    void setSlackPart(double slackPart);
+
+    void handle(const std::shared_ptr<CallerExchange> &exchange);
+
+    std::size_t runningCount() const { return runs_.size(); }
+
+    // For ForwardRun.
+    EventLoop &loop() { return loop_; }
+    const ForwardSettings &settings() const { return settings_; }
+    ForwardMetrics &metrics() { return metrics_; }
+    const ServiceId &chooseService(const RequestRoute &route) { return split_.next(route, random_); }
+    BackendTable &backends() { return backends_; }
+    ServiceLatency &latency(const ServiceId &service) { return latencies_[service]; }
+    RetryAllowance &allowance(const ServiceId &service);
+    std::mt19937_64 &random() { return random_; }
+    void recordTry(Backend &server, TryResult result, Duration took);
+    void dropLater(ForwardRun *run);
+
+private:
+    EventLoop &loop_;
+    const ForwardSettings settings_;
+    BackendTable &backends_;
+    ForwardMetrics &metrics_;
+    std::shared_ptr<const RoutingTable> routes_; ///< Null: no configuration was seen yet.
+    TrafficSplit split_;
+    std::map<ServiceId, ServiceLatency> latencies_;
+    std::map<ServiceId, RetryAllowance> allowances_;
+    double slackPart_ = 0.0;
+    HealthListener healthListener_;
+    std::mt19937_64 random_;
+    std::map<ForwardRun *, std::unique_ptr<ForwardRun>> runs_;
+    std::set<ForwardRun *> ended_; ///< Dropped on the loop's next turn.
+    Timers::HandlePtr drop_;
+};
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_forward/run/forwardrun.h
@@ -0,0 +1,98 @@
+// One caller's request from its arrival to its answer.
+#pragma once
+
+#include "qz_forward/run/forwarder.h"
+#include "qz_forward/run/forwardtry.h"
+#include "qz_http/stream/callerexchange.h"
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace qz {
+
+/// Finds the route, places the request, tries it again where that is safe, and answers.
+///
+/// A request that is not repeatable is never sent again once a byte of it was given to a
+/// connection, unless the backend server said that it has not run it. A repeatable one may
+/// be sent to a second server, also while the first is silent, within the route's attempts
+/// and the retry budget. "Not run" is only told if each server that the request was sent to
+/// said so.
+/// @see Forwarder, ForwardTry
+class ForwardRun : private CallerExchangeListener
+{
+public:
+    ForwardRun(Forwarder &forwarder, std::shared_ptr<CallerExchange> exchange,
+               std::shared_ptr<const RoutingTable> routes);
+    ~ForwardRun() override;
+
+    void start();
+
+    // For ForwardTry.
+    Forwarder &forwarder() { return forwarder_; }
+    const std::string &requestId() const { return requestId_; }
+    HttpHead makeRequestHead(const Backend &server) const;
+    const std::string &heldBody() const { return body_; }
+    std::string takeStreamedBody();
+    bool isRequestComplete() const;
+    void pullBody();
+    bool isStreaming(const ForwardTry &attempt) const { return streaming_ == &attempt; }
+    bool startStreaming(ForwardTry &attempt);
+    void streamAnswer(ForwardTry &attempt, std::string_view data);
+    void takeTryAnswer(ForwardTry &attempt);
+    void takeTryFailure(ForwardTry &attempt, const Error &error);
+
+private:
+    void takeMoreBody() override;
+    void takeDrained() override;
+    void takeCallerGone() override;
+
+    bool findRoute();
+    bool readDeadline();
+    bool takeRequestBody();
+    std::vector<PlacementCandidate> makeCandidates() const;
+    PlacementRequest makePlacementRequest() const;
+    std::optional<Placement> choose() const;
+    bool placeNext();
+    void launch(const Placement &placement);
+    bool mayTryAgain() const;
+    void tryAgainOrFail(const Error &error);
+    void armSecondTry();
+    void trySecond();
+    void expire();
+    TryResult classify(const ForwardTry &attempt) const;
+    void deliver(ForwardTry &attempt);
+    void fail(const Error &error);
+    Duration retryAfter() const;
+    bool hasRunningTry() const;
+    void endTry(ForwardTry &attempt, TryResult result, const std::string &detail);
+    void endOtherTries(TryResult result);
+    void end(const std::string &outcome, int status, const std::string &cause);
+
+    Forwarder &forwarder_;
+    const std::shared_ptr<CallerExchange> exchange_;
+    const std::shared_ptr<const RoutingTable> routes_; ///< Of the time of arrival.
+    const RequestRoute *route_ = nullptr;                     ///< In routes_.
+    ServiceId service_;
+    std::string requestId_;
+    std::string body_; ///< The body, or its start if it is streamed.
+    std::uint64_t streamedBytes_ = 0;
+    bool isBodyStreamed_ = false; ///< The request cannot be sent a second time.
+    TimePoint deadline_;
+    std::vector<std::shared_ptr<Backend>> servers_; ///< Of the last choice.
+    std::vector<std::unique_ptr<ForwardTry>> tries_;
+    ForwardTry *streaming_ = nullptr; ///< Its answer goes to the caller as it comes.
+    int sentCount_ = 0;     ///< Tries that gave bytes to a connection and have ended.
+    int connectFailures_ = 0;
+    bool mayHaveRun_ = false; ///< A server got the request and did not deny running it.
+    bool isEnded_ = false;
+    nlohmann::json tryLog_ = nlohmann::json::array();
+    Timers::HandlePtr deadlineTimer_;
+    Timers::HandlePtr secondTryTimer_;
+};
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_http/stream/httpcaller.h
@@ -0,0 +1,51 @@
+// Calls an HTTP server, one call at a time, for control traffic.
+#pragma once
+
+#include "qz_core/errors/error.h"
+#include "qz_core/loop/eventloop.h"
+#include "qz_http/stream/backendconnection.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace qz {
+
+/// Keeps one connection and makes it anew when it is of no further use. A call is sent once;
+/// whether a failed one took effect is not known.
+/// @see BackendConnection
+class HttpCaller : private BackendConnectionListener
+{
+public:
+    using Done = std::function<void(Result<HttpResponse>)>;
+
+    HttpCaller(EventLoop &loop, Endpoint server, Duration silenceLimit);
+
+    /// Calls @p done once: with the answer, or with BackendConnectFailed, BackendCut,
+    /// BackendTimeout or AnswerMismatch. Only while no other call is under way.
+    void call(const HttpRequest &request, Duration timeout, Done done);
+
+    bool isBusy() const { return done_ != nullptr; }
+
+private:
+    void takeConnected() override;
+    void takeAnswerHead(HttpHead head) override;
+    void takeAnswerBody(std::string_view data) override;
+    void takeAnswerEnd() override;
+    void takeFailure(const Error &error) override;
+    void takeSendDrained() override {}
+
+    void send();
+    void finish(Result<HttpResponse> result);
+
+    EventLoop &loop_;
+    const Endpoint server_;
+    const Duration silenceLimit_;
+    std::unique_ptr<BackendConnection> connection_;
+    HttpRequest request_;
+    HttpResponse response_;
+    Done done_; ///< Set exactly while a call is under way.
+    Timers::HandlePtr timeout_;
+};
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_http/stream/socketoptions.h
@@ -0,0 +1,13 @@
+// Options of TCP connections.
+#pragma once
+
+#include "qz_core/time/clock.h"
+
+namespace qz {
+
+/// Makes a connection that has gone silent end with an error: after about @p limit without
+/// an acknowledgement of sent bytes, or of keep-alive probes while nothing is sent. Also
+/// sends small writes at once. A failed option is logged.
+void setSilenceLimit(int descriptor, Duration limit);
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_placement/choice/placement.h
@@ -0,0 +1,69 @@
+// Which backend server takes a request.
+#pragma once
+
+#include "qz_core/ids/ids.h"
+#include "qz_core/time/clock.h"
+#include "qz_placement/health/serverhealth.h"
+
+#include <optional>
+#include <vector>
+
+namespace qz {
+
+/// How far a backend server is from this instance.
+enum class Distance : std::uint8_t { SameDomain, SameRegion, OtherRegion };
+
+Distance distanceBetween(const Location &a, const Location &b);
+std::string_view toString(Distance distance);
+
+/// What the choice knows of one server.
+struct PlacementCandidate
+{
+    Distance distance_ = Distance::SameDomain;
+    ServerHealth::State state_ = ServerHealth::State::Good;
+    TimePoint heldUntil_{};
+    int slots_ = 1;           ///< Requests that the server works on at once.
+    int inFlight_ = 0;        ///< Requests of this instance that it has not answered.
+    double slowness_ = 1.0;   ///< Its time in relation to the service's mean.
+    Duration oldestWait_{ 0 }; ///< Age of the oldest request that it has not answered.
+    bool isTried_ = false;    ///< This request was sent to it before.
+    bool isTrialOwner_ = true; ///< This instance is to find out whether it has recovered.
+};
+
+/// What the choice knows of the request.
+struct PlacementRequest
+{
+    bool isRepeatable_ = false;
+    Duration target_{};   ///< Time within which the answer is in target.
+    Duration timeLeft_{}; ///< Until the request ends in any case.
+    Duration expected_{}; ///< Mean time of an answer of the service.
+};
+
+/// What distance costs, as a part of the request's target time. Bytes between failure
+/// domains and regions are paid by volume, so work stays near unless it would be late there.
+struct PlacementCosts
+{
+    double sameRegion_ = 0.35;
+    double otherRegion_ = 0.8;
+    Duration betweenRegions_ = std::chrono::milliseconds(24); ///< Round trip.
+    int queuedPerSlot_ = 4; ///< Requests of this instance that may wait at a server, a slot.
+};
+
+struct Placement
+{
+    std::size_t index_ = 0;
+    bool isTrial_ = false;
+    Duration expected_{}; ///< Until the answer.
+};
+
+/// Load pattern: slots suffice on the whole, but a part of the servers fails or is slow at
+/// any time, and the servers of one failure domain alone can be too few. Chooses the server
+/// with the lowest expected answer time plus the cost of distance, out of those in good
+/// health. A server whose trial is due goes first, for repeatable work, and for other work
+/// as well at the instance that owns its trial. If only held servers are left, the one whose
+/// hold ends first is taken. Empty if no server could answer in the time left.
+std::optional<Placement> choosePlacement(const std::vector<PlacementCandidate> &candidates,
+                                         const PlacementRequest &request,
+                                         const PlacementCosts &costs, TimePoint now);
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_placement/health/serverhealth.cpp
@@ -0,0 +1,136 @@
+// Holds and trials of a backend server.
+#include "qz_placement/health/serverhealth.h"
+
+#include <algorithm>
+
+namespace qz {
+
+namespace {
+
+/// Suspicion at which a server is held.
+constexpr double holdLevel = 1.0;
+
+/// The share of a new answer in the mean latency.
+constexpr double latencyGain = 0.25;
+
+/// Evidence of one result. Sound servers answer with a failure now and then and shed when
+/// full, so these count in part only.
+double weightOf(TryResult result)
+{
+    switch (result) {
+    case TryResult::Cut:
+    case TryResult::TimedOut:
+    case TryResult::ConnectFailed:
+    case TryResult::WrongInstance:
+        return 1.0;
+    case TryResult::ServerError:
+        return 0.6;
+    case TryResult::Shed:
+    case TryResult::Overtaken:
+        return 0.4;
+    case TryResult::Answered:
+    case TryResult::Cancelled:
+        break;
+    }
+    return 0.0;
+}
+
+} // namespace
+
+std::string_view toString(TryResult result)
+{
+    switch (result) {
+    case TryResult::Answered:
+        return "answered";
+    case TryResult::ServerError:
+        return "server-error";
+    case TryResult::Shed:
+        return "shed";
+    case TryResult::Cut:
+        return "cut";
+    case TryResult::TimedOut:
+        return "timed-out";
+    case TryResult::ConnectFailed:
+        return "connect-failed";
+    case TryResult::WrongInstance:
+        return "wrong-instance";
+    case TryResult::Overtaken:
+        return "overtaken";
+    case TryResult::Cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
+ServerHealth::ServerHealth(HealthLimits limits)
+    : limits_(limits)
+    , nextHold_(limits.firstHold_)
+{
+}
+
+ServerHealth::State ServerHealth::state(TimePoint now) const
+{
+    if (trialsLeft_ == 0) {
+        return State::Good;
+    }
+    return now < heldUntil_ ? State::Held : State::Trial;
+}
+
+bool ServerHealth::record(TryResult result, Duration took, TimePoint now)
+{
+    if (result == TryResult::Cancelled) {
+        return false;
+    }
+    if (result == TryResult::Answered) {
+        const double gain = meanLatency_ == Duration::zero() ? 1.0 : latencyGain;
+        meanLatency_ += std::chrono::duration_cast<Duration>((took - meanLatency_) * gain);
+        suspicion_ /= 2.0;
+        if (trialsLeft_ > 0 && now >= heldUntil_ && --trialsLeft_ == 0) {
+            nextHold_ = limits_.firstHold_;
+        }
+        return false;
+    }
+    suspicion_ += weightOf(result);
+    const bool isOnTrial = trialsLeft_ > 0;
+    if (suspicion_ < holdLevel && !isOnTrial) {
+        return false;
+    }
+    // Several requests that were under way fail together; they are one failure.
+    if (now >= heldUntil_) {
+        hold(now);
+        return true;
+    }
+    return false;
+}
+
+void ServerHealth::hold(TimePoint now)
+{
+    heldUntil_ = now + nextHold_;
+    nextHold_ = std::min(nextHold_ * 2, limits_.longestHold_);
+    trialsLeft_ = limits_.trialSuccesses_;
+    suspicion_ = 0.0;
+}
+
+void ServerHealth::adoptHold(Duration hold, TimePoint now)
+{
+    heldUntil_ = std::max(heldUntil_, now + std::min(hold, limits_.longestHold_));
+    trialsLeft_ = std::max(trialsLeft_, 1);
+}
+
+void ServerHealth::adoptRecovery(TimePoint now)
+{
+    heldUntil_ = std::min(heldUntil_, now);
+    trialsLeft_ = 0;
+    suspicion_ = 0.0;
+    nextHold_ = limits_.firstHold_;
+}
+
+double ServerHealth::slowness(Duration expected) const
+{
+    if (meanLatency_ == Duration::zero() || expected <= Duration::zero()) {
+        return 1.0;
+    }
+    return std::chrono::duration<double>(meanLatency_) / std::chrono::duration<double>(expected);
+}
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_placement/health/servicelatency.h
@@ -0,0 +1,27 @@
+// How long the requests of a service take.
+#pragma once
+
+#include "qz_core/time/clock.h"
+
+namespace qz {
+
+/// The mean and a high quantile of the answer times of a service's servers together. Until
+/// there were answers both come from the target time of its requests.
+class ServiceLatency
+{
+public:
+    void record(Duration took);
+
+    /// Mean time of an answer; @p target is that of the request that asks.
+    Duration mean(Duration target) const;
+
+    /// A time that about nine in ten answers do not exceed.
+    Duration high(Duration target) const;
+
+private:
+    Duration mean_{ 0 }; ///< Zero: no answer yet.
+    Duration high_{ 0 };
+    int count_ = 0;
+};
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_presence/exchange/presencedriver.h
@@ -0,0 +1,52 @@
+// Exchanges presence and health notes with other instances.
+#pragma once
+
+#include "qz_core/loop/eventloop.h"
+#include "qz_fleet/links/peerlinks.h"
+#include "qz_presence/directory/instancedirectory.h"
+#include "qz_presence/exchange/presencemessages.h"
+
+#include <functional>
+
+namespace qz {
+
+/// Says a few times a second to all instances of the failure domain that this one is live,
+/// and sends health notes to the entries of all failure domains. Notes are sent once and may
+/// be lost: the receiver then finds out by its own requests.
+/// @see InstanceDirectory
+class PresenceDriver
+{
+public:
+    using NoteHandler = std::function<void(const HealthNoteMessage &)>;
+
+    PresenceDriver(EventLoop &loop, PeerLinks &links, InstanceDirectory &directory);
+    ~PresenceDriver();
+    PresenceDriver(const PresenceDriver &) = delete;
+    PresenceDriver &operator=(const PresenceDriver &) = delete;
+
+    void start();
+
+    /// Takes instances that were found elsewhere.
+    void addInstances(const std::vector<InstanceRecord> &records);
+
+    /// Whether this instance takes callers; told to the others at once.
+    void setReady(bool isReady);
+
+    void setNoteHandler(NoteHandler handler) { noteHandler_ = std::move(handler); }
+    void sendNote(const HealthNoteMessage &note);
+
+private:
+    void announce();
+    void receivePresence(const InstanceId &from, std::string_view payload);
+    void receiveNote(const InstanceId &from, std::string_view payload);
+    void updatePeers();
+
+    EventLoop &loop_;
+    PeerLinks &links_;
+    InstanceDirectory &directory_;
+    NoteHandler noteHandler_;
+    bool isReady_ = false;
+    Timers::HandlePtr timer_;
+};
+
+} // namespace qz
