Give connects to the store a time limit of their own

Cause: an instance cut off from the store for 12 s went on with a connect that the system retried ever more rarely, so it read the store again 6 s after the cut had healed and sent requests to servers that had drained. Ruled out: the feed's wait (the connection never stood), the backoff (1.5 s).

--- a/packages/qz_http/stream/httpcaller.cpp
+++ b/packages/qz_http/stream/httpcaller.cpp
@@ -5,9 +5,11 @@
 
 namespace qz {
 
-HttpCaller::HttpCaller(EventLoop &loop, Endpoint server, Duration silenceLimit)
+HttpCaller::HttpCaller(EventLoop &loop, Endpoint server, Duration connectTimeout,
+                       Duration silenceLimit)
     : loop_(loop)
     , server_(std::move(server))
+    , connectTimeout_(connectTimeout)
     , silenceLimit_(silenceLimit)
 {
 }
@@ -28,10 +30,15 @@
     }
     connection_ = std::make_unique<BackendConnection>(loop_, server_, silenceLimit_);
     connection_->setListener(this);
+    connectTimer_ = loop_.callAfter(connectTimeout_, [this] {
+        connection_.reset();
+        finish(failure(ErrorKind::BackendConnectFailed, "connect timed out"));
+    });
 }
 
 void HttpCaller::takeConnected()
 {
+    connectTimer_.reset();
     send();
 }
 
@@ -78,6 +85,7 @@
 void HttpCaller::finish(Result<HttpResponse> result)
 {
     timeout_.reset();
+    connectTimer_.reset();
     const Done done = std::exchange(done_, nullptr);
     done(std::move(result));
 }
--- a/packages/qz_http/stream/httpcaller.h
+++ b/packages/qz_http/stream/httpcaller.h
@@ -19,7 +19,9 @@
 public:
     using Done = std::function<void(Result<HttpResponse>)>;
 
-    HttpCaller(EventLoop &loop, Endpoint server, Duration silenceLimit);
+    /// A connection that does not stand after @p connectTimeout is given up; one whose peer
+    /// is silent for @p silenceLimit ends.
+    HttpCaller(EventLoop &loop, Endpoint server, Duration connectTimeout, Duration silenceLimit);
 
     /// Calls @p done once: with the answer, or with BackendConnectFailed, BackendCut,
     /// BackendTimeout or AnswerMismatch. Only while no other call is under way.
@@ -40,12 +42,14 @@
 
     EventLoop &loop_;
     const Endpoint server_;
+    const Duration connectTimeout_;
     const Duration silenceLimit_;
     std::unique_ptr<BackendConnection> connection_;
     HttpRequest request_;
     HttpResponse response_;
     Done done_; ///< Set exactly while a call is under way.
     Timers::HandlePtr timeout_;
+    Timers::HandlePtr connectTimer_;
 };
 
 } // namespace qz
