Let two instances of a failure domain read the store for all of it

Now two readers by hash hand changes on; presence tells versions, and readers of other failure domains are told them too, which covers a reader whose store takes calls and never answers.

--- a/apps/quetzaldaled/serve/servedaemon.cpp
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -15,6 +15,7 @@
 using namespace std::chrono_literals;
 
 constexpr Duration tickPeriod = 1s;
+constexpr Duration readerPeriod = 200ms; ///< Checks who reads from the store.
 constexpr Duration stopCheckPeriod = 100ms;
 /// Left of the stop limit for the last answers to reach their callers.
 constexpr Duration stopMargin = 300ms;
@@ -49,8 +50,9 @@
     }())
     , links_(makeLinks())
     , presence_(loop_, *links_, directory_)
+    , replicas_(loop_, *links_, directory_)
     , platform_(loop_, { settings_.storeAddress_, settings_.regions_, makeSelf() }, backends_,
-                makeAdapterHandlers())
+                replicas_, makeAdapterHandlers())
     , callers_(loop_, {}, [this](const auto &exchange) { forwarder_.handle(exchange); })
     , ready_(loop_, {}, [this](const auto &exchange) { answerControl(exchange); })
     , directoryServer_(loop_, {}, [this](const auto &exchange) { answerControl(exchange); })
@@ -60,6 +62,10 @@
         presence_.sendNote({ server.listed().id_, server.listed().incarnation_, hold });
     });
     presence_.setNoteHandler([this](const HealthNoteMessage &note) { applyNote(note); });
+    presence_.setVersions([this] { return replicas_.versions(); });
+    presence_.setVersionsHandler([this](const InstanceId &from, const TableVersions &versions) {
+        replicas_.compare(from, versions);
+    });
 }
 
 int ServeDaemon::run()
@@ -71,7 +77,9 @@
     }
     watchSignals();
     presence_.start();
+    replicas_.start();
     platform_.start();
+    handles_.push_back(loop_.callEvery(readerPeriod, [this] { updateReader(); }));
     handles_.push_back(loop_.callEvery(tickPeriod, [this] { tick(); }));
     log(LogLevel::Info, "started",
         { { "settings", settings_.toJson() }, { "incarnation", incarnation_ } });
@@ -109,11 +117,16 @@
 {
     platform::PlatformAdapter::Handlers handlers;
     handlers.takeRoutes_ = [this](const auto &routes) { applyRoutes(routes); };
-    handlers.takeInstances_ = [this](const auto &records) { presence_.addInstances(records); };
+    handlers.takeInstances_ = [this](const auto &records) {
+        presence_.addInstances(records);
+        return !directory_.neighbours().empty();
+    };
     handlers.backendsKnown_ = [this] {
         areBackendsKnown_ = true;
-        updateReady();
+        updateState();
     };
+    handlers.instancesTried_ = [this] { updateReader(); };
+    handlers.storeChanged_ = [this] { updateState(); };
     handlers.callEnded_ = [this](const std::string &call, const std::string &outcome) {
         metrics_.countStoreCall(call, outcome);
     };
@@ -153,7 +166,7 @@
     limits.headTimeout_ = routes->limits().headerTimeout_;
     limits.idleTimeout_ = routes->limits().idleTimeout_;
     callers_.setLimits(limits);
-    updateReady();
+    updateState();
 }
 
 void ServeDaemon::applyNote(const HealthNoteMessage &note)
@@ -169,9 +182,21 @@
     }
 }
 
-void ServeDaemon::updateReady()
+bool ServeDaemon::isReady() const
+{
+    return areBackendsKnown_ && forwarder_.routes() != nullptr && !isStopping_;
+}
+
+void ServeDaemon::updateState()
 {
-    presence_.setReady(areBackendsKnown_ && forwarder_.routes() != nullptr && !isStopping_);
+    presence_.setState({ isReady(), platform_.isStoreLost() });
+}
+
+void ServeDaemon::updateReader()
+{
+    if (platform_.hasTriedInstances()) {
+        platform_.setReader(directory_.isReader(loop_.now()));
+    }
 }
 
 void ServeDaemon::tick()
@@ -194,7 +219,7 @@
     isStopping_ = true;
     stoppingSince_ = loop_.now();
     log(LogLevel::Info, "stopping", { { "running_requests", forwarder_.runningCount() } });
-    updateReady();
+    updateState();
     callers_.startClosing();
     handles_.push_back(loop_.callEvery(stopCheckPeriod, [this] { checkStopped(); }));
 }
@@ -216,9 +241,8 @@
 {
     const std::string_view path = pathOf(exchange->head().target_);
     if (path == platform::readyPath) {
-        const bool isReady = areBackendsKnown_ && forwarder_.routes() != nullptr && !isStopping_;
-        exchange->reply(makeHead(isReady ? statusOk : statusUnavailable, "text/plain"),
-                        isReady ? "ready\n" : "not ready\n");
+        exchange->reply(makeHead(isReady() ? statusOk : statusUnavailable, "text/plain"),
+                        isReady() ? "ready\n" : "not ready\n");
     } else if (path == platform::directoryPath) {
         answerDirectory(exchange);
     } else if (path == "/metrics") {
--- a/apps/quetzaldaled/serve/servedaemon.h
+++ b/apps/quetzaldaled/serve/servedaemon.h
@@ -7,6 +7,7 @@
 #include "qz_forward/qz_forward.h"
 #include "qz_http/stream/callerserver.h"
 #include "qz_presence/qz_presence.h"
+#include "qz_replica/qz_replica.h"
 #include "quetzaldaled/serve/servesettings.h"
 
 #include <memory>
@@ -37,7 +38,9 @@
     void watchSignals();
     void applyRoutes(const std::shared_ptr<const RoutingTable> &routes);
     void applyNote(const HealthNoteMessage &note);
-    void updateReady();
+    bool isReady() const;
+    void updateState();
+    void updateReader();
     void tick();
     void startStopping();
     void checkStopped();
@@ -54,6 +57,7 @@
     InstanceDirectory directory_;
     std::unique_ptr<PeerLinks> links_;
     PresenceDriver presence_;
+    ReplicaExchange replicas_;
     platform::PlatformAdapter platform_;
     CallerServer callers_;
     CallerServer ready_;
--- a/packages/qz_fleet/messages/messagekind.cpp
+++ b/packages/qz_fleet/messages/messagekind.cpp
@@ -24,6 +24,9 @@
     "membership-gossip",
     "presence",
     "health-note",
+    "table-request",
+    "table-update",
+    "table-version",
 };
 
 } // namespace
--- a/packages/qz_fleet/messages/messagekind.h
+++ b/packages/qz_fleet/messages/messagekind.h
@@ -26,10 +26,13 @@
     MembershipGossip = 13, ///< Heartbeats and member updates. @see Membership
     Presence = 14,         ///< An instance is live. @see PresenceDriver
     HealthNote = 15,       ///< What an instance found out about a backend server.
+    TableRequest = 16,     ///< Asks for a whole table. @see ReplicaExchange
+    TableUpdate = 17,      ///< A table's rows, all or those that changed.
+    TableVersion = 18,     ///< The sender has this version of a table.
 };
 
 /// One more than the highest value of a kind.
-constexpr std::size_t messageKindEnd = 16;
+constexpr std::size_t messageKindEnd = 19;
 
 /// The kind with the value @p value on the wire, if there is one.
 std::optional<MessageKind> messageKindFromValue(std::uint64_t value);
--- a/packages/qz_http/stream/httpcaller.cpp
+++ b/packages/qz_http/stream/httpcaller.cpp
@@ -36,6 +36,16 @@
     });
 }
 
+void HttpCaller::abandon()
+{
+    if (done_ != nullptr) {
+        done_ = nullptr;
+        timeout_.reset();
+        connectTimer_.reset();
+        connection_.reset();
+    }
+}
+
 void HttpCaller::takeConnected()
 {
     connectTimer_.reset();
--- a/packages/qz_http/stream/httpcaller.h
+++ b/packages/qz_http/stream/httpcaller.h
@@ -27,6 +27,9 @@
     /// BackendTimeout or AnswerMismatch. Only while no other call is under way.
     void call(const HttpRequest &request, Duration timeout, Done done);
 
+    /// Gives up the call under way, if any, without calling done.
+    void abandon();
+
     bool isBusy() const { return done_ != nullptr; }
 
 private:
--- a/packages/qz_http/stream/socketoptions.cpp
+++ b/packages/qz_http/stream/socketoptions.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr int probeCount = 2; ///< Keep-alive probes that may stay unanswered.
+constexpr int mostProbes = 2; ///< Keep-alive probes that may stay unanswered.
 
 void setOption(int descriptor, int level, int name, int value)
 {
@@ -31,6 +31,7 @@
 {
     using namespace std::chrono;
     const auto whole = static_cast<int>(duration_cast<seconds>(limit).count());
+    const int probeCount = std::clamp(whole - 1, 1, mostProbes);
     const int interval = std::max(1, whole / (probeCount + 1));
     setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
     setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
--- a/packages/qz_presence/directory/instancedirectory.cpp
+++ b/packages/qz_presence/directory/instancedirectory.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Sets the order in which instances become readers apart from that of entries.
+constexpr const char *readersSuffix = "/readers";
+
 bool isSame(const InstanceRecord &a, const InstanceRecord &b)
 {
     return a.callerEndpoint_ == b.callerEndpoint_ && a.peerEndpoint_ == b.peerEndpoint_
@@ -25,7 +28,7 @@
 {
 }
 
-bool InstanceDirectory::put(const InstanceRecord &record)
+bool InstanceDirectory::put(const InstanceRecord &record, TimePoint now)
 {
     if (record.id_ == self_.id_) {
         return false;
@@ -34,16 +37,16 @@
     if (!known.record_.id_.isEmpty() && isSame(known.record_, record)) {
         return false;
     }
-    known.record_ = record;
+    known = Known{ record, now, {}, false };
     return true;
 }
 
-void InstanceDirectory::hear(const InstanceId &id, bool isReady, TimePoint now)
+void InstanceDirectory::hear(const InstanceId &id, const InstanceState &state, TimePoint now)
 {
     const auto found = others_.find(id.value());
     if (found != others_.end()) {
         found->second.heardAt_ = now;
-        found->second.isReady_ = isReady;
+        found->second.state_ = state;
         found->second.isLost_ = false;
     }
 }
@@ -56,12 +59,13 @@
     }
 }
 
-std::vector<InstanceRecord> InstanceDirectory::firstOf(const std::string &domain,
-                                                       std::vector<std::string> ids) const
+std::vector<InstanceRecord> InstanceDirectory::firstOf(const std::string &key,
+                                                       std::vector<std::string> ids,
+                                                       std::size_t count) const
 {
     std::vector<InstanceRecord> first;
-    for (const std::string &id : rendezvousOrder(domain, std::move(ids))) {
-        if (first.size() == limits_.entriesPerDomain_) {
+    for (const std::string &id : rendezvousOrder(key, std::move(ids))) {
+        if (first.size() == count) {
             break;
         }
         first.push_back(id == self_.id_.value() ? self_ : others_.at(id).record_);
@@ -69,20 +73,48 @@
     return first;
 }
 
+bool InstanceDirectory::isLiveNeighbour(const Known &known, TimePoint now) const
+{
+    return known.record_.location_.failureDomain_ == self_.location_.failureDomain_
+            && !known.isLost_ && now - known.heardAt_ < limits_.silenceLimit_;
+}
+
 std::vector<InstanceRecord> InstanceDirectory::entries(TimePoint now) const
 {
-    const FailureDomainId &domain = self_.location_.failureDomain_;
     std::vector<std::string> live;
     for (const auto &[id, known] : others_) {
-        if (known.record_.location_.failureDomain_ == domain && known.isReady_ && !known.isLost_
-            && now - known.heardAt_ < limits_.silenceLimit_) {
+        if (known.state_.isReady_ && isLiveNeighbour(known, now)) {
             live.push_back(id);
         }
     }
-    if (isSelfReady_) {
+    if (selfState_.isReady_) {
         live.push_back(self_.id_.value());
     }
-    return firstOf(domain.value(), std::move(live));
+    return firstOf(self_.location_.failureDomain_.value(), std::move(live),
+                   limits_.entriesPerDomain_);
+}
+
+bool InstanceDirectory::isReader(TimePoint now) const
+{
+    std::vector<std::string> live{ self_.id_.value() };
+    for (const auto &[id, known] : others_) {
+        if (isLiveNeighbour(known, now)) {
+            live.push_back(id);
+        }
+    }
+    std::size_t readers = 0;
+    std::size_t candidates = 0;
+    const std::string key = self_.location_.failureDomain_.value() + readersSuffix;
+    for (const std::string &id : rendezvousOrder(key, std::move(live))) {
+        if (++candidates > limits_.readerCandidates_ || readers == limits_.readersPerDomain_) {
+            return false;
+        }
+        if (id == self_.id_.value()) {
+            return true;
+        }
+        readers += others_.at(id).state_.isStoreLost_ ? 0 : 1;
+    }
+    return false;
 }
 
 bool InstanceDirectory::isEntry(TimePoint now) const
@@ -104,6 +136,24 @@
 }
 
 std::vector<InstanceRecord> InstanceDirectory::remoteEntries() const
+{
+    return firstOfOtherDomains("", limits_.entriesPerDomain_);
+}
+
+std::vector<InstanceRecord> InstanceDirectory::remoteReaders() const
+{
+    return firstOfOtherDomains(readersSuffix, limits_.readersPerDomain_);
+}
+
+bool InstanceDirectory::isNeighbour(const InstanceId &id) const
+{
+    const auto found = others_.find(id.value());
+    return found != others_.end()
+            && found->second.record_.location_.failureDomain_ == self_.location_.failureDomain_;
+}
+
+std::vector<InstanceRecord>
+InstanceDirectory::firstOfOtherDomains(const std::string &keySuffix, std::size_t count) const
 {
     std::map<std::string, std::vector<std::string>> domains;
     for (const auto &[id, known] : others_) {
@@ -113,7 +163,7 @@
     }
     std::vector<InstanceRecord> found;
     for (auto &[domain, ids] : domains) {
-        for (InstanceRecord &record : firstOf(domain, std::move(ids))) {
+        for (InstanceRecord &record : firstOf(domain + keySuffix, std::move(ids), count)) {
             found.push_back(std::move(record));
         }
     }
--- a/packages/qz_presence/directory/instancedirectory.h
+++ b/packages/qz_presence/directory/instancedirectory.h
@@ -22,6 +22,13 @@
     MSGPACK_DEFINE(id_, callerEndpoint_, peerEndpoint_, location_)
 };
 
+/// What an instance tells of itself that may change.
+struct InstanceState
+{
+    bool isReady_ = false;     ///< It takes callers.
+    bool isStoreLost_ = false; ///< It cannot read from the store.
+};
+
 /// Knows the instances from their records, and which ones of its own failure domain are live
 /// from what was heard of them.
 ///
@@ -35,21 +42,27 @@
     struct Limits
     {
         std::size_t entriesPerDomain_ = 2;
+        /// Instances of a failure domain that read from the store for all of it. With two, one
+        /// may fail without a gap.
+        std::size_t readersPerDomain_ = 2;
+        /// Instances that try to, one after the other, where the store refuses some.
+        std::size_t readerCandidates_ = 6;
         /// An instance that was not heard for so long is not live.
         Duration silenceLimit_ = std::chrono::milliseconds(1500);
     };
 
     InstanceDirectory(InstanceRecord self, Limits limits);
 
-    /// Adds an instance or changes its addresses. True if it was not known like this.
-    bool put(const InstanceRecord &record);
+    /// Adds an instance or changes its addresses. True if it was not known like this. A new
+    /// one is taken as live, but not as ready, until it could have been heard.
+    bool put(const InstanceRecord &record, TimePoint now);
 
-    /// An instance said that it is live; @p isReady: and takes callers.
-    void hear(const InstanceId &id, bool isReady, TimePoint now);
+    /// An instance said that it is live.
+    void hear(const InstanceId &id, const InstanceState &state, TimePoint now);
     /// The link to an instance was lost or it said that it stops.
     void lose(const InstanceId &id);
 
-    void setSelfReady(bool isReady) { isSelfReady_ = isReady; }
+    void setSelfState(const InstanceState &state) { selfState_ = state; }
     const InstanceRecord &self() const { return self_; }
 
     /// The instances that callers of this failure domain should use, best first.
@@ -58,12 +71,21 @@
     /// Whether this instance is one of entries().
     bool isEntry(TimePoint now) const;
 
+    /// Whether this instance is one of those that read from the store.
+    bool isReader(TimePoint now) const;
+
     /// The other instances of this failure domain.
     std::vector<InstanceRecord> neighbours() const;
 
-    /// Of each other failure domain, the instances that come first there if all are live.
+    /// Of each other failure domain, the entries if all its instances are live.
     std::vector<InstanceRecord> remoteEntries() const;
 
+    /// Of each other failure domain, the readers if all its instances are live.
+    std::vector<InstanceRecord> remoteReaders() const;
+
+    /// Whether @p id is known to stand in this instance's failure domain.
+    bool isNeighbour(const InstanceId &id) const;
+
     std::vector<InstanceRecord> all() const;
     std::size_t domainCount() const;
     std::size_t entriesPerDomain() const { return limits_.entriesPerDomain_; }
@@ -73,15 +95,18 @@
     {
         InstanceRecord record_;
         TimePoint heardAt_{};
-        bool isReady_ = false;
+        InstanceState state_;
         bool isLost_ = true;
     };
-    std::vector<InstanceRecord> firstOf(const std::string &domain,
-                                        std::vector<std::string> ids) const;
+    bool isLiveNeighbour(const Known &known, TimePoint now) const;
+    std::vector<InstanceRecord> firstOf(const std::string &key, std::vector<std::string> ids,
+                                        std::size_t count) const;
+    std::vector<InstanceRecord> firstOfOtherDomains(const std::string &keySuffix,
+                                                    std::size_t count) const;
 
     InstanceRecord self_;
     Limits limits_;
-    bool isSelfReady_ = false;
+    InstanceState selfState_;
     std::map<std::string, Known> others_; ///< By id, without this instance.
 };
 
--- a/packages/qz_presence/exchange/presencedriver.cpp
+++ b/packages/qz_presence/exchange/presencedriver.cpp
@@ -46,25 +46,28 @@
 {
     bool isChanged = false;
     for (const InstanceRecord &record : records) {
-        isChanged = directory_.put(record) || isChanged;
+        isChanged = directory_.put(record, loop_.now()) || isChanged;
     }
     if (isChanged) {
         updatePeers();
+        announceSoon_ = loop_.callAfter(Duration::zero(), [this] { announce(); });
     }
 }
 
-void PresenceDriver::setReady(bool isReady)
+void PresenceDriver::setState(const InstanceState &state)
 {
-    if (isReady != isReady_) {
-        isReady_ = isReady;
-        directory_.setSelfReady(isReady);
+    if (state.isReady_ != state_.isReady_ || state.isStoreLost_ != state_.isStoreLost_) {
+        state_ = state;
+        directory_.setSelfState(state);
         announce();
     }
 }
 
 void PresenceDriver::announce()
 {
-    const std::string message = packMessage(PresenceMessage{ directory_.self(), isReady_ });
+    const std::string message =
+            packMessage(PresenceMessage{ directory_.self(), state_.isReady_, state_.isStoreLost_,
+                                         versions_ ? versions_() : TableVersions() });
     for (const InstanceRecord &neighbour : directory_.neighbours()) {
         // A neighbour that is down is dialled again by the links; nothing else is lost.
         (void)links_.send(neighbour.id_, MessageKind::Presence, message);
@@ -88,13 +91,17 @@
 
 void PresenceDriver::receivePresence(const InstanceId &from, std::string_view payload)
 {
-    auto message = unpackMessage<PresenceMessage>(payload);
+    const auto message = unpackMessage<PresenceMessage>(payload);
     if (message.has_error() || message.value().sender_.id_ != from) {
         log(LogLevel::Warning, "presence-malformed", { { "from", from.value() } });
         return;
     }
-    addInstances({ message.value().sender_ });
-    directory_.hear(from, message.value().isReady_, loop_.now());
+    const PresenceMessage &presence = message.value();
+    addInstances({ presence.sender_ });
+    directory_.hear(from, { presence.isReady_, presence.isStoreLost_ }, loop_.now());
+    if (versionsHandler_) {
+        versionsHandler_(from, presence.versions_);
+    }
 }
 
 void PresenceDriver::receiveNote(const InstanceId &from, std::string_view payload)
--- a/packages/qz_presence/exchange/presencedriver.h
+++ b/packages/qz_presence/exchange/presencedriver.h
@@ -18,6 +18,7 @@
 {
 public:
     using NoteHandler = std::function<void(const HealthNoteMessage &)>;
+    using VersionsHandler = std::function<void(const InstanceId &, const TableVersions &)>;
 
     PresenceDriver(EventLoop &loop, PeerLinks &links, InstanceDirectory &directory);
     ~PresenceDriver();
@@ -29,8 +30,13 @@
     /// Takes instances that were found elsewhere.
     void addInstances(const std::vector<InstanceRecord> &records);
 
-    /// Whether this instance takes callers; told to the others at once.
-    void setReady(bool isReady);
+    /// What this instance tells of itself; a change is told to the others at once.
+    void setState(const InstanceState &state);
+
+    /// The versions that are told with each presence.
+    void setVersions(std::function<TableVersions()> versions) { versions_ = std::move(versions); }
+    /// Takes the versions that another instance has.
+    void setVersionsHandler(VersionsHandler handler) { versionsHandler_ = std::move(handler); }
 
     void setNoteHandler(NoteHandler handler) { noteHandler_ = std::move(handler); }
     void sendNote(const HealthNoteMessage &note);
@@ -45,8 +51,11 @@
     PeerLinks &links_;
     InstanceDirectory &directory_;
     NoteHandler noteHandler_;
-    bool isReady_ = false;
+    std::function<TableVersions()> versions_;
+    VersionsHandler versionsHandler_;
+    InstanceState state_;
     Timers::HandlePtr timer_;
+    Timers::HandlePtr announceSoon_; ///< After new instances were found.
 };
 
 } // namespace qz
--- /dev/null
+++ b/packages/qz_replica/exchange/replicaexchange.cpp
@@ -0,0 +1,182 @@
+// Updates and requests over peer links.
+#include "qz_replica/exchange/replicaexchange.h"
+
+#include "qz_core/logging/logger.h"
+#include "qz_fleet/messages/packing.h"
+
+#include <utility>
+
+namespace qz {
+
+namespace {
+
+/// A reader of another failure domain has read a change itself by then, unless its way to
+/// the store has failed.
+constexpr Duration ownReadTime = std::chrono::milliseconds(700);
+
+} // namespace
+
+ReplicaExchange::ReplicaExchange(EventLoop &loop, PeerLinks &links,
+                                 const InstanceDirectory &directory)
+    : loop_(loop)
+    , links_(links)
+    , directory_(directory)
+{
+}
+
+ReplicaExchange::~ReplicaExchange()
+{
+    links_.setHandler(MessageKind::TableUpdate, nullptr);
+    links_.setHandler(MessageKind::TableRequest, nullptr);
+    links_.setHandler(MessageKind::TableVersion, nullptr);
+}
+
+void ReplicaExchange::addTable(const std::string &table, UpdateHandler handler)
+{
+    tables_.emplace(table, Table{ TableReplica(table), std::move(handler) });
+}
+
+void ReplicaExchange::start()
+{
+    links_.setHandler(MessageKind::TableUpdate, [this](const InstanceId &from,
+                                                       std::string_view payload) {
+        receiveUpdate(from, payload);
+    });
+    links_.setHandler(MessageKind::TableRequest, [this](const InstanceId &from,
+                                                        std::string_view payload) {
+        receiveRequest(from, payload);
+    });
+    links_.setHandler(MessageKind::TableVersion, [this](const InstanceId &from,
+                                                        std::string_view payload) {
+        receiveVersion(from, payload);
+    });
+}
+
+void ReplicaExchange::publish(const TableUpdate &update)
+{
+    if (!apply(update)) {
+        return; // Another instance handed it on first.
+    }
+    sendToNeighbours(update);
+    if (update.rows_.empty()) {
+        return;
+    }
+    const std::string message =
+            packMessage(TableVersionMessage{ update.table_, update.version_ });
+    for (const InstanceRecord &reader : directory_.remoteReaders()) {
+        // A reader that is not told reads the store itself.
+        (void)links_.send(reader.id_, MessageKind::TableVersion, message);
+    }
+}
+
+void ReplicaExchange::sendToNeighbours(const TableUpdate &update)
+{
+    const std::string message = packMessage(update);
+    for (const InstanceRecord &neighbour : directory_.neighbours()) {
+        // One that is missed sees in the presence that it is behind.
+        (void)links_.send(neighbour.id_, MessageKind::TableUpdate, message);
+    }
+}
+
+bool ReplicaExchange::apply(const TableUpdate &update)
+{
+    const auto found = tables_.find(update.table_);
+    if (found == tables_.end() || !found->second.replica_.apply(update)) {
+        return false;
+    }
+    found->second.handler_(update);
+    return true;
+}
+
+std::uint64_t ReplicaExchange::version(const std::string &table) const
+{
+    const auto found = tables_.find(table);
+    return found == tables_.end() ? 0 : found->second.replica_.version();
+}
+
+TableVersions ReplicaExchange::versions() const
+{
+    TableVersions versions;
+    for (const auto &[name, table] : tables_) {
+        versions[name] = table.replica_.version();
+    }
+    return versions;
+}
+
+void ReplicaExchange::compare(const InstanceId &from, const TableVersions &versions)
+{
+    for (const auto &[name, version] : versions) {
+        const auto found = tables_.find(name);
+        if (found != tables_.end() && version > found->second.replica_.version()) {
+            // Asked again with the next presence if it is lost.
+            (void)links_.send(from, MessageKind::TableRequest,
+                              packMessage(TableRequestMessage{
+                                      name, found->second.replica_.version() }));
+        }
+    }
+}
+
+void ReplicaExchange::receiveUpdate(const InstanceId &from, std::string_view payload)
+{
+    const auto update = unpackMessage<TableUpdate>(payload);
+    if (update.has_error()) {
+        log(LogLevel::Warning, "table-update-malformed", { { "from", from.value() } });
+        return;
+    }
+    if (apply(update.value()) && !directory_.isNeighbour(from)) {
+        sendToNeighbours(update.value());
+    }
+}
+
+void ReplicaExchange::receiveVersion(const InstanceId &from, std::string_view payload)
+{
+    const auto message = unpackMessage<TableVersionMessage>(payload);
+    if (message.has_error()) {
+        log(LogLevel::Warning, "table-version-malformed", { { "from", from.value() } });
+        return;
+    }
+    if (message.value().version_ <= version(message.value().table_)) {
+        return;
+    }
+    RemoteVersion &remote = remoteVersions_[message.value().table_];
+    if (message.value().version_ > remote.version_) {
+        remote = { from, message.value().version_ };
+    }
+    if (check_ == nullptr) {
+        check_ = loop_.callAfter(ownReadTime, [this] { checkRemoteVersions(); });
+    }
+}
+
+void ReplicaExchange::checkRemoteVersions()
+{
+    check_.reset();
+    for (const auto &[table, remote] : std::exchange(remoteVersions_, {})) {
+        if (remote.version_ > version(table)) {
+            log(LogLevel::Info, "table-behind",
+                { { "table", table },
+                  { "version", version(table) },
+                  { "known_version", remote.version_ },
+                  { "from", remote.from_.value() } });
+            compare(remote.from_, { { table, remote.version_ } });
+        }
+    }
+}
+
+void ReplicaExchange::receiveRequest(const InstanceId &from, std::string_view payload)
+{
+    const auto request = unpackMessage<TableRequestMessage>(payload);
+    if (request.has_error()) {
+        log(LogLevel::Warning, "table-request-malformed", { { "from", from.value() } });
+        return;
+    }
+    const auto found = tables_.find(request.value().table_);
+    if (found == tables_.end()
+        || found->second.replica_.version() <= request.value().version_) {
+        return;
+    }
+    // Asked again with the next presence if it is lost.
+    (void)links_.send(from, MessageKind::TableUpdate,
+                      packMessage(found->second.replica_.makeWhole()));
+}
+
+} // namespace qz
--- /dev/null
+++ b/packages/qz_replica/table/tablereplica.cpp
@@ -0,0 +1,48 @@
+// Steps of a table's copy.
+#include "qz_replica/table/tablereplica.h"
+
+#include <utility>
+
+namespace qz {
+
+TableReplica::TableReplica(std::string table)
+    : table_(std::move(table))
+{
+}
+
+bool TableReplica::apply(const TableUpdate &update)
+{
+    const bool isContiguous = update.isWhole_ || update.fromVersion_ <= version_;
+    if (update.version_ <= version_ || !isContiguous) {
+        return false;
+    }
+    if (!update.isWhole_ && version_ == 0) {
+        return false; // Changes of a table that was never read.
+    }
+    if (update.isWhole_) {
+        rows_.clear();
+    }
+    for (const ReplicaRow &row : update.rows_) {
+        if (row.isDeleted_) {
+            rows_.erase(row.key_);
+        } else {
+            rows_[row.key_] = row.value_;
+        }
+    }
+    version_ = update.version_;
+    return true;
+}
+
+TableUpdate TableReplica::makeWhole() const
+{
+    TableUpdate update;
+    update.table_ = table_;
+    update.isWhole_ = true;
+    update.version_ = version_;
+    for (const auto &[key, value] : rows_) {
+        update.rows_.push_back({ key, value, false });
+    }
+    return update;
+}
+
+} // namespace qz
