Tell other instances of a server's failures, not of the way to it

Cause: an instance that lost its way to a server made all instances hold it. One entry owns the trial of a held server. Once 12 per cent of a service's requests fail, idle servers are used as well.

--- a/apps/quetzaldaled/serve/servedaemon.cpp
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -2,6 +2,7 @@
 #include "quetzaldaled/serve/servedaemon.h"
 
 #include "platform/platformnames.h"
+#include "qz_core/hashing/rendezvous.h"
 #include "qz_core/ids/randomid.h"
 #include "qz_core/logging/logger.h"
 
@@ -61,6 +62,7 @@
     forwarder_.setHealthListener([this](const Backend &server, Duration hold) {
         presence_.sendNote({ server.listed().id_, server.listed().incarnation_, hold });
     });
+    forwarder_.setTrialOwner([this](const Backend &server) { return ownsTrial(server); });
     presence_.setNoteHandler([this](const HealthNoteMessage &note) { applyNote(note); });
     presence_.setVersions([this] { return replicas_.versions(); });
     presence_.setVersionsHandler([this](const InstanceId &from, const TableVersions &versions) {
@@ -182,6 +184,19 @@
     }
 }
 
+bool ServeDaemon::ownsTrial(const Backend &server) const
+{
+    if (server.listed().location_.failureDomain_ != settings_.location_.failureDomain_) {
+        return false;
+    }
+    std::vector<std::string> entries;
+    for (const InstanceRecord &entry : directory_.entries(loop_.now())) {
+        entries.push_back(entry.id_.value());
+    }
+    const auto order = rendezvousOrder(server.listed().id_.value(), std::move(entries));
+    return !order.empty() && order.front() == settings_.instanceId_.value();
+}
+
 bool ServeDaemon::isReady() const
 {
     return areBackendsKnown_ && forwarder_.routes() != nullptr && !isStopping_;
--- a/apps/quetzaldaled/serve/servedaemon.h
+++ b/apps/quetzaldaled/serve/servedaemon.h
@@ -39,6 +39,7 @@
     void applyRoutes(const std::shared_ptr<const RoutingTable> &routes);
     void applyNote(const HealthNoteMessage &note);
     bool isReady() const;
+    bool ownsTrial(const Backend &server) const;
     void updateState();
     void updateReader();
     void tick();
--- a/packages/qz_forward/backends/backend.cpp
+++ b/packages/qz_forward/backends/backend.cpp
@@ -28,6 +28,12 @@
     idle_.clear();
 }
 
+void Backend::beginRequest(TimePoint now)
+{
+    begun_.insert(now);
+    lastSent_ = now;
+}
+
 void Backend::endRequest(TimePoint begunAt)
 {
     const auto found = begun_.find(begunAt);
--- a/packages/qz_forward/backends/backend.h
+++ b/packages/qz_forward/backends/backend.h
@@ -48,7 +48,9 @@
     ServerHealth &health() { return health_; }
     const ServerHealth &health() const { return health_; }
 
-    void beginRequest(TimePoint now) { begun_.insert(now); }
+    void beginRequest(TimePoint now);
+    /// When the last request was sent to it.
+    TimePoint lastSent() const { return lastSent_; }
     /// Ends the request that began at @p begunAt.
     void endRequest(TimePoint begunAt);
     int inFlight() const { return static_cast<int>(begun_.size()); }
@@ -68,6 +70,7 @@
     ServerHealth health_;
     std::multiset<TimePoint> begun_; ///< When the unanswered requests were sent.
     std::vector<std::unique_ptr<BackendConnection>> idle_; ///< Longest idle first.
+    TimePoint lastSent_{};
     bool isListed_ = true;
 };
 
--- a/packages/qz_forward/run/forwarder.cpp
+++ b/packages/qz_forward/run/forwarder.cpp
@@ -41,7 +41,12 @@
     started.start();
 }
 
-void Forwarder::recordTry(Backend &server, TryResult result, Duration took)
+bool Forwarder::ownsTrial(const Backend &server) const
+{
+    return !trialOwner_ || trialOwner_(server);
+}
+
+void Forwarder::recordTry(Backend &server, TryResult result, Duration took, bool isRepeatable)
 {
     const TimePoint now = loop_.now();
     const auto before = server.health().state(now);
@@ -50,7 +55,7 @@
     if (result == TryResult::Answered) {
         latencies_[service].record(took);
     }
-    if (server.health().record(result, took, now)) {
+    if (server.health().record(result, took, isRepeatable, now)) {
         const Duration hold = server.health().heldUntil() - now;
         metrics_.countHold(service.value());
         log(LogLevel::Info, "server-held",
@@ -59,7 +64,7 @@
               { "cause", toString(result) },
               { "hold_ms", std::chrono::duration_cast<std::chrono::milliseconds>(hold).count() },
               { "in_flight", server.inFlight() } });
-        if (healthListener_) {
+        if (healthListener_ && isOfServer(result)) {
             healthListener_(server, hold);
         }
         return;
--- a/packages/qz_forward/run/forwarder.h
+++ b/packages/qz_forward/run/forwarder.h
@@ -52,6 +52,10 @@
     void setRoutes(std::shared_ptr<const RoutingTable> routes) { routes_ = std::move(routes); }
     const std::shared_ptr<const RoutingTable> &routes() const { return routes_; }
 
+    /// Tells whether a server's trial belongs to this instance; without it each one does.
+    using TrialOwner = std::function<bool(const Backend &server)>;
+    void setTrialOwner(TrialOwner owner) { trialOwner_ = std::move(owner); }
+
     void setHealthListener(HealthListener listener) { healthListener_ = std::move(listener); }
 
     /// This instance's part of the slack of retry budgets. @see RetryAllowance
@@ -70,7 +74,10 @@
     ServiceLatency &latency(const ServiceId &service) { return latencies_[service]; }
     RetryAllowance &allowance(const ServiceId &service);
     std::mt19937_64 &random() { return random_; }
-    void recordTry(Backend &server, TryResult result, Duration took);
+    ServedShare &servedShare(const ServiceId &service) { return servedShares_[service]; }
+    void recordTry(Backend &server, TryResult result, Duration took, bool isRepeatable);
+    /// Whether this instance is to find out if a held server has recovered.
+    bool ownsTrial(const Backend &server) const;
     void dropLater(ForwardRun *run);
 
 private:
@@ -83,7 +90,9 @@
     std::map<ServiceId, ServiceLatency> latencies_;
     std::map<ServiceId, RetryAllowance> allowances_;
     double slackPart_ = 0.0;
+    std::map<ServiceId, ServedShare> servedShares_;
     HealthListener healthListener_;
+    TrialOwner trialOwner_;
     std::mt19937_64 random_;
     std::map<ForwardRun *, std::unique_ptr<ForwardRun>> runs_;
     std::set<ForwardRun *> ended_; ///< Dropped on the loop's next turn.
--- a/packages/qz_forward/run/forwardrun.cpp
+++ b/packages/qz_forward/run/forwardrun.cpp
@@ -21,6 +21,9 @@
 constexpr int connectFailureLimit = 4; ///< Servers that could not be reached, for one request.
 /// Bytes of a body that wait for a slow receiver before reading pauses.
 constexpr std::size_t backlogBytes = std::size_t(256) * 1024;
+/// Part of a service's requests that fail from which on the others are spread over all its
+/// servers; below the tenth at which too few servers in use would matter.
+constexpr double spreadLevel = 0.12;
 /// A second try while the first is silent leaves this part of the budget for failures.
 constexpr double earlyTryBudgetPart = 0.5;
 /// A second try starts after a high quantile of the answer times, within these parts of the
@@ -202,6 +205,10 @@
                 distanceBetween(forwarder_.settings().location_, server->listed().location_);
         candidate.state_ = server->health().state(now);
         candidate.heldUntil_ = server->health().heldUntil();
+        candidate.heldSince_ = server->health().heldSince();
+        candidate.lastSent_ = server->lastSent();
+        candidate.isTrialOwner_ = candidate.state_ == ServerHealth::State::Good
+                || forwarder_.ownsTrial(*server);
         candidate.slots_ = server->listed().slots_;
         candidate.inFlight_ = server->inFlight();
         candidate.slowness_ = server->health().slowness(mean);
@@ -215,17 +222,19 @@
     return candidates;
 }
 
-PlacementRequest ForwardRun::makePlacementRequest() const
+PlacementRequest ForwardRun::makePlacementRequest()
 {
     PlacementRequest request;
     request.isRepeatable_ = route_->isRepeatable_;
     request.target_ = route_->target_;
     request.timeLeft_ = deadline_ - forwarder_.loop().now();
     request.expected_ = forwarder_.latency(service_).mean(route_->target_);
+    request.isSpread_ =
+            forwarder_.servedShare(service_).unserved(forwarder_.loop().now()) > spreadLevel;
     return request;
 }
 
-std::optional<Placement> ForwardRun::choose() const
+std::optional<Placement> ForwardRun::choose()
 {
     return choosePlacement(makeCandidates(), makePlacementRequest(), forwarder_.settings().costs_,
                            forwarder_.loop().now());
@@ -377,7 +386,9 @@
         return;
     }
     const bool isHandedOver = attempt.isHandedOver();
-    endTry(attempt, isHandedOver ? TryResult::Cut : TryResult::ConnectFailed, error.message_);
+    const TryResult sentResult =
+            error.kind_ == ErrorKind::BackendTimeout ? TryResult::Silent : TryResult::Cut;
+    endTry(attempt, isHandedOver ? sentResult : TryResult::ConnectFailed, error.message_);
     if (streaming_ == &attempt) {
         exchange_->cut();
         end("cut", 0, error.message_);
@@ -537,6 +548,9 @@
     const Duration took = forwarder_.loop().now() - exchange_->arrivedAt();
     forwarder_.metrics().countRequest(service_.value(), outcome, took);
     const bool isFine = outcome == "answered" && status < firstFailureStatus;
+    if (route_ != nullptr && outcome != "caller-gone") {
+        forwarder_.servedShare(service_).record(isFine, forwarder_.loop().now());
+    }
     const LogLevel level = isFine ? LogLevel::Debug : LogLevel::Info;
     if (isLogged(level)) {
         log(level, "request",
--- a/packages/qz_forward/run/forwardrun.h
+++ b/packages/qz_forward/run/forwardrun.h
@@ -35,6 +35,7 @@
     // For ForwardTry.
     Forwarder &forwarder() { return forwarder_; }
     const std::string &requestId() const { return requestId_; }
+    bool isRepeatable() const { return route_->isRepeatable_; }
     HttpHead makeRequestHead(const Backend &server) const;
     const std::string &heldBody() const { return body_; }
     std::string takeStreamedBody();
@@ -55,8 +56,8 @@
     bool readDeadline();
     bool takeRequestBody();
     std::vector<PlacementCandidate> makeCandidates() const;
-    PlacementRequest makePlacementRequest() const;
-    std::optional<Placement> choose() const;
+    PlacementRequest makePlacementRequest();
+    std::optional<Placement> choose();
     bool placeNext();
     void launch(const Placement &placement);
     bool mayTryAgain() const;
--- a/packages/qz_forward/run/forwardtry.cpp
+++ b/packages/qz_forward/run/forwardtry.cpp
@@ -136,7 +136,7 @@
         server_->putIdle(std::move(connection_));
     }
     connection_.reset();
-    run_.forwarder().recordTry(*server_, result, elapsed());
+    run_.forwarder().recordTry(*server_, result, elapsed(), run_.isRepeatable());
 }
 
 } // namespace qz
--- a/packages/qz_http/stream/backendconnection.cpp
+++ b/packages/qz_http/stream/backendconnection.cpp
@@ -152,6 +152,8 @@
     }
     if (!connection.isConnected_) {
         connection.fail(ErrorKind::BackendConnectFailed, std::strerror(reason));
+    } else if ((events & BEV_EVENT_EOF) == 0 && reason == ETIMEDOUT) {
+        connection.fail(ErrorKind::BackendTimeout, "silent");
     } else {
         connection.fail(ErrorKind::BackendCut,
                         (events & BEV_EVENT_EOF) != 0 ? "closed" : std::strerror(reason));
--- a/packages/qz_http/stream/backendconnection.h
+++ b/packages/qz_http/stream/backendconnection.h
@@ -28,7 +28,9 @@
     virtual void takeAnswerHead(HttpHead head) = 0;
     virtual void takeAnswerBody(std::string_view data) = 0;
     virtual void takeAnswerEnd() = 0;
-    /// The connection has failed and is of no further use.
+    /// The connection has failed and is of no further use: BackendConnectFailed if it never
+    /// stood, BackendTimeout if the peer went silent, BackendCut, or AnswerMismatch for bytes
+    /// that are no answer.
     virtual void takeFailure(const Error &error) = 0;
     /// What was sent has left the buffer.
     virtual void takeSendDrained() = 0;
--- a/packages/qz_placement/choice/placement.cpp
+++ b/packages/qz_placement/choice/placement.cpp
@@ -44,11 +44,38 @@
     return candidate.inFlight_ >= candidate.slots_ * (1 + costs.queuedPerSlot_);
 }
 
-bool isDueForTrial(const PlacementCandidate &candidate, const PlacementRequest &request)
+bool isDueForTrial(const PlacementCandidate &candidate, const PlacementCosts &costs,
+                   bool isFloorReached, TimePoint now)
 {
-    return candidate.state_ == ServerHealth::State::Trial && candidate.inFlight_ == 0
-            && !candidate.isTried_ && candidate.isTrialOwner_
-            && (request.isRepeatable_ || candidate.distance_ == Distance::SameDomain);
+    if (candidate.state_ == ServerHealth::State::Good || candidate.inFlight_ > 0
+        || candidate.isTried_) {
+        return false;
+    }
+    if (!candidate.isTrialOwner_) {
+        return now >= candidate.heldUntil_ + costs.foreignTrialDelay_;
+    }
+    return now >= candidate.heldUntil_
+            || (isFloorReached && now >= candidate.heldSince_ + costs.floorHold_);
+}
+
+/// Whether so many servers are held that the rest is too small a part of the service.
+bool isFloorReached(const std::vector<PlacementCandidate> &candidates, const PlacementCosts &costs)
+{
+    const auto held = std::count_if(candidates.begin(), candidates.end(), [](const auto &c) {
+        return c.state_ != ServerHealth::State::Good;
+    });
+    return static_cast<double>(held) > costs.maxHeldPart_ * static_cast<double>(candidates.size());
+}
+
+/// What a request costs at a server in good health; the lowest wins.
+Duration costOf(const PlacementCandidate &candidate, Duration expected,
+                const PlacementRequest &request, const PlacementCosts &costs, TimePoint now)
+{
+    const Duration cost = expected + distanceCost(candidate, request, costs);
+    if (!request.isSpread_ || candidate.inFlight_ >= candidate.slots_) {
+        return cost;
+    }
+    return now - candidate.lastSent_ > costs.spreadPause_ ? cost - request.target_ : cost;
 }
 
 } // namespace
@@ -82,13 +109,14 @@
     Duration bestCost{};
     std::optional<Placement> leastHeld;
     Duration leastHold{};
+    const bool isFloor = request.isSpread_ && isFloorReached(candidates, costs);
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const PlacementCandidate &candidate = candidates[i];
         if (candidate.isTried_ || isFull(candidate, costs)) {
             continue;
         }
         const Duration expected = expectedAnswer(candidate, request, costs);
-        if (isDueForTrial(candidate, request)) {
+        if (isDueForTrial(candidate, costs, isFloor, now)) {
             return Placement{ i, true, expected };
         }
         if (expected > request.timeLeft_) {
@@ -103,7 +131,7 @@
             }
             continue;
         }
-        const Duration cost = expected + distanceCost(candidate, request, costs);
+        const Duration cost = costOf(candidate, expected, request, costs, now);
         if (!best || cost < bestCost) {
             best = Placement{ i, false, expected };
             bestCost = cost;
--- a/packages/qz_placement/choice/placement.h
+++ b/packages/qz_placement/choice/placement.h
@@ -22,6 +22,8 @@
     Distance distance_ = Distance::SameDomain;
     ServerHealth::State state_ = ServerHealth::State::Good;
     TimePoint heldUntil_{};
+    TimePoint heldSince_{};
+    TimePoint lastSent_{};    ///< When it last got a request from this instance.
     int slots_ = 1;           ///< Requests that the server works on at once.
     int inFlight_ = 0;        ///< Requests of this instance that it has not answered.
     double slowness_ = 1.0;   ///< Its time in relation to the service's mean.
@@ -37,6 +39,8 @@
     Duration target_{};   ///< Time within which the answer is in target.
     Duration timeLeft_{}; ///< Until the request ends in any case.
     Duration expected_{}; ///< Mean time of an answer of the service.
+    /// Many of the service's requests fail: spread the others over all its servers.
+    bool isSpread_ = false;
 };
 
 /// What distance costs, as a part of the request's target time. Bytes between failure
@@ -46,6 +50,14 @@
     double sameRegion_ = 0.35;
     double otherRegion_ = 0.8;
     Duration betweenRegions_ = std::chrono::milliseconds(24); ///< Round trip.
+    /// A held server that this instance is not to try is tried by it at last after this time.
+    Duration foreignTrialDelay_ = std::chrono::seconds(8);
+    /// While many requests fail, a hold gives way after this time where more than
+    /// maxHeldPart_ of the servers are held, so that enough of them stay in use.
+    Duration floorHold_ = std::chrono::seconds(2);
+    double maxHeldPart_ = 0.3;
+    /// While many requests fail, a server that got none for so long goes before the others.
+    Duration spreadPause_ = std::chrono::milliseconds(1200);
     int queuedPerSlot_ = 4; ///< Requests of this instance that may wait at a server, a slot.
 };
 
@@ -59,9 +71,13 @@
 /// Load pattern: slots suffice on the whole, but a part of the servers fails or is slow at
 /// any time, and the servers of one failure domain alone can be too few. Chooses the server
 /// with the lowest expected answer time plus the cost of distance, out of those in good
-/// health. A server whose trial is due goes first, for repeatable work, and for other work
-/// as well at the instance that owns its trial. If only held servers are left, the one whose
-/// hold ends first is taken. Empty if no server could answer in the time left.
+/// health. A server whose trial is due goes first, at the instance that owns its trial. If
+/// only held servers are left, the one whose hold ends first is taken. Empty if no server
+/// could answer in the time left.
+///
+/// As long as most requests are served, work stays with the servers that answer fast: each
+/// server in use costs requests when it begins to fail. Once many fail, each server gets
+/// work now and then, and holds end sooner.
 std::optional<Placement> choosePlacement(const std::vector<PlacementCandidate> &candidates,
                                          const PlacementRequest &request,
                                          const PlacementCosts &costs, TimePoint now);
--- a/packages/qz_placement/health/serverhealth.cpp
+++ b/packages/qz_placement/health/serverhealth.cpp
@@ -19,6 +19,7 @@
 {
     switch (result) {
     case TryResult::Cut:
+    case TryResult::Silent:
     case TryResult::TimedOut:
     case TryResult::ConnectFailed:
     case TryResult::WrongInstance:
@@ -48,6 +49,8 @@
         return "shed";
     case TryResult::Cut:
         return "cut";
+    case TryResult::Silent:
+        return "silent";
     case TryResult::TimedOut:
         return "timed-out";
     case TryResult::ConnectFailed:
@@ -62,9 +65,14 @@
     return "cancelled";
 }
 
+bool isOfServer(TryResult result)
+{
+    return result == TryResult::Cut || result == TryResult::ServerError
+            || result == TryResult::WrongInstance;
+}
+
 ServerHealth::ServerHealth(HealthLimits limits)
     : limits_(limits)
-    , nextHold_(limits.firstHold_)
 {
 }
 
@@ -76,7 +84,7 @@
     return now < heldUntil_ ? State::Held : State::Trial;
 }
 
-bool ServerHealth::record(TryResult result, Duration took, TimePoint now)
+bool ServerHealth::record(TryResult result, Duration took, bool isRepeatable, TimePoint now)
 {
     if (result == TryResult::Cancelled) {
         return false;
@@ -86,7 +94,7 @@
         meanLatency_ += std::chrono::duration_cast<Duration>((took - meanLatency_) * gain);
         suspicion_ /= 2.0;
         if (trialsLeft_ > 0 && now >= heldUntil_ && --trialsLeft_ == 0) {
-            nextHold_ = limits_.firstHold_;
+            nextHold_ = Duration::zero();
         }
         return false;
     }
@@ -97,22 +105,28 @@
     }
     // Several requests that were under way fail together; they are one failure.
     if (now >= heldUntil_) {
-        hold(now);
+        hold(!isRepeatable && isOfServer(result), now);
         return true;
     }
     return false;
 }
 
-void ServerHealth::hold(TimePoint now)
+void ServerHealth::hold(bool isCostly, TimePoint now)
 {
-    heldUntil_ = now + nextHold_;
-    nextHold_ = std::min(nextHold_ * 2, limits_.longestHold_);
+    const Duration first = isCostly ? limits_.firstCostlyHold_ : limits_.firstHold_;
+    const Duration length = std::max(first, nextHold_);
+    heldSince_ = now;
+    heldUntil_ = now + length;
+    nextHold_ = std::min(length * 2, limits_.longestHold_);
     trialsLeft_ = limits_.trialSuccesses_;
     suspicion_ = 0.0;
 }
 
 void ServerHealth::adoptHold(Duration hold, TimePoint now)
 {
+    if (now >= heldUntil_) {
+        heldSince_ = now;
+    }
     heldUntil_ = std::max(heldUntil_, now + std::min(hold, limits_.longestHold_));
     trialsLeft_ = std::max(trialsLeft_, 1);
 }
@@ -122,7 +136,7 @@
     heldUntil_ = std::min(heldUntil_, now);
     trialsLeft_ = 0;
     suspicion_ = 0.0;
-    nextHold_ = limits_.firstHold_;
+    nextHold_ = Duration::zero();
 }
 
 double ServerHealth::slowness(Duration expected) const
--- a/packages/qz_placement/health/serverhealth.h
+++ b/packages/qz_placement/health/serverhealth.h
@@ -14,6 +14,7 @@
     ServerError,   ///< The server answered that it failed.
     Shed,          ///< The server said that it did not run the request.
     Cut,           ///< The connection or the answer broke after the request was sent.
+    Silent,        ///< The way to the server went silent after the request was sent.
     TimedOut,      ///< No answer in the time that the request had.
     ConnectFailed, ///< Nothing was sent.
     WrongInstance, ///< Another server has the address.
@@ -23,11 +24,18 @@
 
 std::string_view toString(TryResult result);
 
+/// Whether a failure says something of the server for all instances, rather than of the way
+/// from this one to it.
+bool isOfServer(TryResult result);
+
 /// How long a server is left alone after a failure, and how it comes back.
 struct HealthLimits
 {
-    Duration firstHold_ = std::chrono::milliseconds(1500); ///< After the first failure.
-    Duration longestHold_ = std::chrono::seconds(6);       ///< Holds double up to this.
+    /// After the first failure of a request that may be repeated.
+    Duration firstHold_ = std::chrono::milliseconds(1500);
+    /// After the first failure of one that may not: its trial costs a request.
+    Duration firstCostlyHold_ = std::chrono::milliseconds(2500);
+    Duration longestHold_ = std::chrono::seconds(8); ///< Holds double up to this.
     int trialSuccesses_ = 2; ///< Answers in a row that end the trial of a held server.
 };
 
@@ -55,8 +63,11 @@
     /// When a held server may be tried again.
     TimePoint heldUntil() const { return heldUntil_; }
 
+    /// When the current hold began.
+    TimePoint heldSince() const { return heldSince_; }
+
     /// Takes the end of a request that took @p took. True if this began or prolonged a hold.
-    bool record(TryResult result, Duration took, TimePoint now);
+    bool record(TryResult result, Duration took, bool isRepeatable, TimePoint now);
 
     /// Takes the word of another instance that the server fails. Not prolonged by repeats.
     void adoptHold(Duration hold, TimePoint now);
@@ -70,12 +81,13 @@
     double suspicion() const { return suspicion_; }
 
 private:
-    void hold(TimePoint now);
+    void hold(bool isCostly, TimePoint now);
 
     HealthLimits limits_;
     double suspicion_ = 0.0;
     TimePoint heldUntil_{};     ///< In the past: not held.
-    Duration nextHold_;         ///< Of the next failure.
+    TimePoint heldSince_{};
+    Duration nextHold_{ 0 };    ///< Of the next failure; zero: the first hold.
     int trialsLeft_ = 0;        ///< Above zero: held or on trial.
     Duration meanLatency_{ 0 }; ///< Zero: no answer yet.
 };
