Prolong a hold when a trial within it fails; start splits at any point

Found by the new replay tests on a model of servers: a held server that was needed was tried again with each request, since a failure within a hold changed nothing. The split sent the first request of each process to the largest share: found by a test with many processes. The parser now gets heads alone: an interim answer left a byte.

--- a/packages/qz_http/stream/httpcaller.cpp
+++ b/packages/qz_http/stream/httpcaller.cpp
@@ -87,9 +87,8 @@
 
 void HttpCaller::takeFailure(const Error &error)
 {
-    const Error copy = error;
     connection_.reset();
-    finish(copy);
+    finish(error);
 }
 
 void HttpCaller::finish(Result<HttpResponse> result)
--- a/packages/qz_http/stream/httpstreamparser.cpp
+++ b/packages/qz_http/stream/httpstreamparser.cpp
@@ -92,8 +92,8 @@
         auto &owner = self(parser);
         owner.finishHead();
         // A body that the parser does not know of is read by the owner.
-        const bool isOwnFraming = owner.head_.framing_ == BodyFraming::UntilClose
-                || (owner.head_.framing_ == BodyFraming::None && owner.isHeadAnswer_);
+        const bool isOwnFraming =
+                owner.head_.framing_ == BodyFraming::UntilClose || owner.hasNoBody_;
         return owner.problem_ || isOwnFraming || owner.isInterim_ ? stopParsing : goOn;
     }
 
@@ -148,7 +148,8 @@
     hasBegun_ = false;
     hasHead_ = false;
     hasEnded_ = false;
-    isHeadAnswer_ = isHeadAnswer;
+    isHeadRequest_ = isHeadAnswer;
+    hasNoBody_ = false;
     isInterim_ = false;
     problem_.reset();
 }
@@ -158,20 +159,39 @@
     if (hasEnded_ || data.empty()) {
         return std::size_t(0);
     }
-    if (hasHead_ && head_.framing_ == BodyFraming::UntilClose) {
+    return hasHead_ ? parseBody(data) : parseHead(data);
+}
+
+Result<std::size_t> HttpStreamParser::parseHead(std::string_view data)
+{
+    BOOST_OUTCOME_TRY(isWhole, checkHeadBytes(data));
+    if (!isWhole) {
+        return std::size_t(0);
+    }
+    // The parser gets the head alone, so that it is clear where the body begins.
+    const std::size_t headSize = data.find(headEnd) + headEnd.size();
+    BOOST_OUTCOME_TRY(runParser(data.substr(0, headSize)));
+    if (!hasHead_) {
+        reset(isHeadRequest_); // An interim answer.
+    } else if (hasEnded_) {
+        sink_.takeEnd();
+        return headSize;
+    }
+    const auto rest = parse(data.substr(headSize));
+    return rest.has_error() ? rest : Result<std::size_t>(headSize + rest.value());
+}
+
+Result<std::size_t> HttpStreamParser::parseBody(std::string_view data)
+{
+    if (head_.framing_ == BodyFraming::UntilClose) {
         sink_.takeBody(data);
         return data.size();
     }
-    if (!hasHead_) {
-        const auto isReady = checkHeadBytes(data);
-        if (isReady.has_error()) {
-            return isReady.error();
-        }
-        if (!isReady.value()) {
-            return std::size_t(0);
-        }
+    BOOST_OUTCOME_TRY(consumed, runParser(data));
+    if (hasEnded_) {
+        sink_.takeEnd();
     }
-    return runParser(data);
+    return consumed;
 }
 
 Result<std::size_t> HttpStreamParser::runParser(std::string_view data)
@@ -185,23 +205,6 @@
     if (error != htparse_error_none && error != htparse_error_user) {
         return failure(ErrorKind::BadRequest, htparser_get_strerror(native_->parser_));
     }
-    if (isInterim_) {
-        const std::size_t headSize = data.find(headEnd) + headEnd.size();
-        reset(false);
-        const auto rest = parse(data.substr(headSize));
-        return rest.has_error() ? rest : Result<std::size_t>(headSize + rest.value());
-    }
-    if (hasEnded_) {
-        sink_.takeEnd();
-        return consumed;
-    }
-    if (head_.framing_ == BodyFraming::UntilClose) {
-        const std::size_t headSize = data.find(headEnd) + headEnd.size();
-        if (headSize < data.size()) {
-            sink_.takeBody(data.substr(headSize));
-        }
-        return data.size();
-    }
     return consumed;
 }
 
@@ -249,7 +252,7 @@
         return;
     }
     hasHead_ = true;
-    if (head_.framing_ == BodyFraming::None && isHeadAnswer_) {
+    if (hasNoBody_) {
         hasEnded_ = true;
     }
     sink_.takeHead(head_);
@@ -276,10 +279,10 @@
         || (coding && !equalsIgnoringCase(*coding, "chunked"))) {
         return failure(ErrorKind::BadRequest, "the length of the answer is ambiguous");
     }
-    if (isHeadAnswer_ || head_.status_ < firstFinalStatus || head_.status_ == statusNoContent
+    if (isHeadRequest_ || head_.status_ < firstFinalStatus || head_.status_ == statusNoContent
         || head_.status_ == statusNotModified) {
         head_.framing_ = BodyFraming::None;
-        isHeadAnswer_ = true;
+        hasNoBody_ = true;
     } else if (coding) {
         head_.framing_ = BodyFraming::Chunked;
     } else if (lengths == 1) {
--- a/packages/qz_http/stream/httpstreamparser.h
+++ b/packages/qz_http/stream/httpstreamparser.h
@@ -64,6 +64,8 @@
     struct Native;
 
     Result<bool> checkHeadBytes(std::string_view data);
+    Result<std::size_t> parseHead(std::string_view data);
+    Result<std::size_t> parseBody(std::string_view data);
     Result<std::size_t> runParser(std::string_view data);
     void finishHead();
     Result<void> checkHead();
@@ -78,8 +80,9 @@
     bool hasBegun_ = false;
     bool hasHead_ = false;
     bool hasEnded_ = false;
-    bool isHeadAnswer_ = false;
-    bool isInterim_ = false; ///< A 1xx answer, which is skipped.
+    bool isHeadRequest_ = false; ///< The answer is that to a HEAD request.
+    bool hasNoBody_ = false;     ///< An answer that ends with its head, whatever its fields say.
+    bool isInterim_ = false;     ///< A 1xx answer, which is skipped.
     std::optional<Error> problem_;
 };
 
--- /dev/null
+++ b/packages/qz_http/tests/callerservertest.cpp
@@ -0,0 +1,183 @@
+// Tests of streamed requests and answers on callers' connections.
+#include "qz_http/stream/callerserver.h"
+
+#include "qz_http/tests/rawsocket.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace std::chrono_literals;
+using namespace qz::testing;
+
+namespace {
+
+/// A server that hands its exchanges to a test.
+struct Fixture
+{
+    explicit Fixture(qz::CallerLimits limits = {})
+        : server_(loop_, limits, [this](const auto &exchange) {
+            exchanges_.push_back(exchange);
+            if (handler_) {
+                handler_(exchange);
+            }
+        })
+    {
+        endpoint_ = { "127.0.0.1", findFreePort() };
+        BOOST_REQUIRE(server_.listen(endpoint_).has_value());
+    }
+
+    static void answer(const std::shared_ptr<qz::CallerExchange> &exchange, const std::string &body)
+    {
+        qz::HttpHead head;
+        head.status_ = 200;
+        exchange->reply(head, body);
+    }
+
+    qz::EventLoop loop_;
+    std::vector<std::shared_ptr<qz::CallerExchange>> exchanges_;
+    std::function<void(const std::shared_ptr<qz::CallerExchange> &)> handler_;
+    qz::CallerServer server_;
+    qz::Endpoint endpoint_;
+};
+
+/// Notes what an exchange tells its owner.
+class Listener : public qz::CallerExchangeListener
+{
+public:
+    void takeMoreBody() override { ++moreBody_; }
+    void takeDrained() override { }
+    void takeCallerGone() override { isGone_ = true; }
+
+    int moreBody_ = 0;
+    bool isGone_ = false;
+};
+
+std::size_t countOf(const std::string &text, const std::string &part)
+{
+    std::size_t count = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(requestsOfOneConnectionAreAnsweredInOrderAlsoWhenTheyComeTogether)
+{
+    Fixture fixture;
+    fixture.handler_ = [&](const auto &exchange) {
+        Fixture::answer(exchange, exchange->head().target_ + ":" + exchange->body());
+    };
+    RawClient client(fixture.loop_, fixture.endpoint_);
+    client.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"
+                "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.loop_.runFor(200ms);
+    BOOST_TEST(fixture.exchanges_.size() == 3);
+    const std::size_t first = client.received().find("/1:ab");
+    const std::size_t second = client.received().find("/2:");
+    const std::size_t third = client.received().find("/3:");
+    BOOST_TEST((first < second && second < third && third != std::string::npos));
+    BOOST_TEST(!client.hasEnded());
+}
+
+BOOST_AUTO_TEST_CASE(aCallerThatLeavesIsNoticedWhileItsAnswerIsWorkedOut)
+{
+    Fixture fixture;
+    Listener listener;
+    fixture.handler_ = [&](const auto &exchange) { exchange->setListener(&listener); };
+    RawClient client(fixture.loop_, fixture.endpoint_);
+    client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.loop_.runFor(100ms);
+    BOOST_REQUIRE(fixture.exchanges_.size() == 1);
+    client.close();
+    fixture.loop_.runFor(100ms);
+    BOOST_TEST(listener.isGone_);
+    BOOST_TEST(!fixture.exchanges_[0]->isOpen());
+    Fixture::answer(fixture.exchanges_[0], "late"); // Goes nowhere.
+    BOOST_TEST(fixture.server_.connectionCount() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(aLongBodyIsHandedOverInPartsAndWaitsForItsReader)
+{
+    Fixture fixture;
+    Listener listener;
+    fixture.handler_ = [&](const auto &exchange) { exchange->setListener(&listener); };
+    RawClient client(fixture.loop_, fixture.endpoint_);
+    constexpr std::size_t size = 4UL * 1024 * 1024;
+    client.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(size)
+                + "\r\n\r\n" + std::string(size, 'x'));
+    fixture.loop_.runFor(200ms);
+    BOOST_REQUIRE(fixture.exchanges_.size() == 1);
+    const auto exchange = fixture.exchanges_[0];
+    // Only a small part is held while nobody takes it.
+    BOOST_TEST(exchange->body().size() < 512UL * 1024);
+    BOOST_TEST(!exchange->isBodyComplete());
+    std::size_t taken = 0;
+    for (int i = 0; i < 200 && taken < size; ++i) {
+        taken += exchange->takeBody().size();
+        fixture.loop_.runFor(5ms);
+    }
+    BOOST_TEST(taken == size);
+    BOOST_TEST(exchange->isBodyComplete());
+}
+
+BOOST_AUTO_TEST_CASE(anAnswerThatIsCutEndsWithoutItsLastChunk)
+{
+    Fixture fixture;
+    fixture.handler_ = [&](const auto &exchange) {
+        qz::HttpHead head;
+        head.status_ = 200;
+        head.framing_ = qz::BodyFraming::Chunked;
+        exchange->startReply(head);
+        exchange->sendBody("part");
+    };
+    RawClient client(fixture.loop_, fixture.endpoint_);
+    client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.loop_.runFor(100ms);
+    fixture.exchanges_[0]->cut();
+    client.awaitEnd();
+    BOOST_TEST(client.hasEnded());
+    BOOST_TEST(countOf(client.received(), "0\r\n\r\n") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(refusedRequestsGetAnAnswerAndTheEndOfTheirConnection)
+{
+    Fixture fixture;
+    RawClient client(fixture.loop_, fixture.endpoint_);
+    client.send(
+            "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    client.awaitEnd();
+    BOOST_TEST(client.received().substr(0, 12) == "HTTP/1.1 400");
+    BOOST_TEST(fixture.exchanges_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(slowHeadsAndIdleConnectionsEndAtTheirLimits)
+{
+    qz::CallerLimits limits;
+    limits.headTimeout_ = 200ms;
+    limits.idleTimeout_ = 200ms;
+    Fixture fixture(limits);
+    fixture.handler_ = [&](const auto &exchange) { Fixture::answer(exchange, "ok"); };
+    RawClient slow(fixture.loop_, fixture.endpoint_);
+    slow.send("GET / HT");
+    RawClient idle(fixture.loop_, fixture.endpoint_);
+    idle.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    slow.awaitEnd();
+    idle.awaitEnd();
+    BOOST_TEST(slow.hasEnded());
+    BOOST_TEST(idle.hasEnded());
+    BOOST_TEST(fixture.exchanges_.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(aStoppingServerAnswersAndEndsItsConnections)
+{
+    Fixture fixture;
+    fixture.handler_ = [&](const auto &exchange) { Fixture::answer(exchange, "ok"); };
+    fixture.server_.startClosing();
+    RawClient client(fixture.loop_, fixture.endpoint_);
+    client.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    client.awaitEnd();
+    BOOST_TEST(client.received().find("Connection: close") != std::string::npos);
+    BOOST_TEST(client.received().find("ok") != std::string::npos);
+}
--- a/packages/qz_placement/health/serverhealth.cpp
+++ b/packages/qz_placement/health/serverhealth.cpp
@@ -109,8 +109,9 @@
     if (suspicion_ < holdLevel && !isOnTrial) {
         return false;
     }
-    // Several requests that were under way fail together; they are one failure.
-    if (now >= heldUntil_) {
+    // Requests that were under way when the hold began fail together; they are one failure.
+    const bool wasUnderWay = trialsLeft_ > 0 && now - took < heldSince_;
+    if (!wasUnderWay) {
         hold(!isRepeatable && isEarly && isOfServer(result), now);
         return true;
     }
--- /dev/null
+++ b/packages/qz_placement/tests/placementtest.cpp
@@ -0,0 +1,278 @@
+// Tests of single decisions: where a request goes, when a server is held, when a second try
+// may be sent.
+#include "qz_placement/qz_placement.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace std::chrono_literals;
+using qz::Distance;
+using qz::ServerHealth;
+using qz::TryResult;
+
+namespace {
+
+const qz::TimePoint start{ 1h };
+
+qz::PlacementCandidate makeCandidate(Distance distance, int inFlight)
+{
+    qz::PlacementCandidate candidate;
+    candidate.distance_ = distance;
+    candidate.slots_ = 2;
+    candidate.inFlight_ = inFlight;
+    candidate.lastSent_ = start;
+    return candidate;
+}
+
+qz::PlacementRequest makeRequest()
+{
+    qz::PlacementRequest request;
+    request.target_ = 500ms;
+    request.timeLeft_ = 1500ms;
+    request.expected_ = 200ms;
+    return request;
+}
+
+std::size_t choose(const std::vector<qz::PlacementCandidate> &candidates,
+                   const qz::PlacementRequest &request = makeRequest(), qz::TimePoint now = start)
+{
+    const auto placement = choosePlacement(candidates, request, {}, now);
+    BOOST_REQUIRE(placement.has_value());
+    return placement->index_;
+}
+
+/// A server that failed at @p at.
+ServerHealth makeHeld(qz::TimePoint at, bool isRepeatable = true)
+{
+    ServerHealth health;
+    health.record(TryResult::Cut, 1ms, isRepeatable, at);
+    return health;
+}
+
+qz::PlacementCandidate makeHeldCandidate(const ServerHealth &health, qz::TimePoint now)
+{
+    auto candidate = makeCandidate(Distance::SameDomain, 0);
+    candidate.state_ = health.state(now);
+    candidate.heldUntil_ = health.heldUntil();
+    candidate.heldSince_ = health.heldSince();
+    return candidate;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(workStaysInItsDomainUntilItWouldWaitLongerThanDistanceCosts)
+{
+    BOOST_TEST(choose({ makeCandidate(Distance::SameRegion, 0),
+                        makeCandidate(Distance::SameDomain, 1) })
+               == 1);
+    BOOST_TEST(choose({ makeCandidate(Distance::SameRegion, 0),
+                        makeCandidate(Distance::SameDomain, 6) })
+               == 0);
+    BOOST_TEST(choose({ makeCandidate(Distance::OtherRegion, 0),
+                        makeCandidate(Distance::SameRegion, 0) })
+               == 1);
+}
+
+BOOST_AUTO_TEST_CASE(aRequestThatNoServerCanAnswerInTimeIsNotPlaced)
+{
+    auto request = makeRequest();
+    request.timeLeft_ = 100ms;
+    BOOST_TEST(!choosePlacement({ makeCandidate(Distance::SameDomain, 0) }, request, {}, start));
+    BOOST_TEST(!choosePlacement({}, makeRequest(), {}, start));
+    BOOST_TEST(!choosePlacement({ makeCandidate(Distance::SameDomain, 10) }, makeRequest(), {},
+                                start));
+}
+
+BOOST_AUTO_TEST_CASE(aServerOnWhichARequestWaitsLongIsTakenForSlow)
+{
+    auto stuck = makeCandidate(Distance::SameDomain, 1);
+    stuck.oldestWait_ = 900ms;
+    BOOST_TEST(choose({ stuck, makeCandidate(Distance::SameDomain, 1) }) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(aResetAtOnceHoldsAServerAndOneInPlaceOfAnAnswerDoesNot)
+{
+    ServerHealth health;
+    BOOST_TEST(!health.record(TryResult::Answered, 200ms, false, start));
+    BOOST_TEST(!health.record(TryResult::Cut, 190ms, false, start));
+    BOOST_CHECK(health.state(start) == ServerHealth::State::Good);
+    BOOST_TEST(health.record(TryResult::Cut, 1ms, false, start));
+    BOOST_CHECK(health.state(start) == ServerHealth::State::Held);
+}
+
+BOOST_AUTO_TEST_CASE(aRareServerErrorHoldsNobodyAndTwoInARowDo)
+{
+    ServerHealth health;
+    for (int i = 0; i < 49; ++i) {
+        const auto result = i % 10 == 9 ? TryResult::ServerError : TryResult::Answered;
+        BOOST_TEST(!health.record(result, 200ms, true, start));
+    }
+    BOOST_TEST(!health.record(TryResult::ServerError, 200ms, true, start));
+    BOOST_TEST(health.record(TryResult::ServerError, 200ms, true, start));
+}
+
+BOOST_AUTO_TEST_CASE(requestsThatFailTogetherAreOneFailure)
+{
+    ServerHealth health;
+    health.record(TryResult::Cut, 1ms, true, start);
+    const auto until = health.heldUntil();
+    BOOST_TEST(!health.record(TryResult::Cut, 20ms, true, start + 10ms));
+    BOOST_CHECK(health.heldUntil() == until);
+}
+
+BOOST_AUTO_TEST_CASE(aFailedTrialWithinAHoldProlongsIt)
+{
+    ServerHealth health = makeHeld(start, false);
+    const auto until = health.heldUntil();
+    const auto now = start + 3s;
+    BOOST_TEST(health.record(TryResult::Cut, 1ms, false, now));
+    BOOST_CHECK(health.heldSince() == now);
+    BOOST_CHECK(health.heldUntil() > until);
+}
+
+BOOST_AUTO_TEST_CASE(holdsGrowWithFailedTrialsAndEndAfterTwoAnswers)
+{
+    ServerHealth health = makeHeld(start);
+    qz::TimePoint now = health.heldUntil();
+    BOOST_CHECK(health.state(now) == ServerHealth::State::Trial);
+    BOOST_TEST(health.record(TryResult::Cut, 1ms, true, now));
+    BOOST_CHECK(health.heldUntil() - now > qz::HealthLimits().firstHold_);
+    now = health.heldUntil();
+    health.record(TryResult::Answered, 200ms, true, now);
+    BOOST_CHECK(health.state(now) == ServerHealth::State::Trial);
+    health.record(TryResult::Answered, 200ms, true, now);
+    BOOST_CHECK(health.state(now) == ServerHealth::State::Good);
+    for (int i = 0; i < 10; ++i) {
+        health.record(TryResult::Cut, 1ms, true, health.heldUntil());
+    }
+    BOOST_CHECK(health.heldUntil() - health.heldSince() <= qz::HealthLimits().longestHold_);
+}
+
+BOOST_AUTO_TEST_CASE(aTrialThatCostsARequestComesLaterUnlessTheServerIsNeeded)
+{
+    const ServerHealth health = makeHeld(start, false);
+    const auto good = makeCandidate(Distance::SameDomain, 0);
+    auto busy = good;
+    busy.inFlight_ = 2;
+    const auto now = start + 3s;
+    BOOST_TEST(choose({ makeHeldCandidate(health, now), good }, makeRequest(), now) == 1);
+    BOOST_TEST(choose({ makeHeldCandidate(health, now), busy }, makeRequest(), now) == 0);
+    const auto later = start + qz::HealthLimits().firstCostlyHold_;
+    BOOST_TEST(choose({ makeHeldCandidate(health, later), good }, makeRequest(), later) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(onlyTheOwnerTriesAHeldServerSoon)
+{
+    const ServerHealth health = makeHeld(start);
+    const auto now = health.heldUntil() + 10ms;
+    auto held = makeHeldCandidate(health, now);
+    held.isTrialOwner_ = false;
+    BOOST_TEST(choose({ held, makeCandidate(Distance::SameDomain, 0) }, makeRequest(), now) == 1);
+    const auto later = health.heldUntil() + qz::PlacementCosts().foreignTrialDelay_;
+    BOOST_TEST(choose({ held, makeCandidate(Distance::SameDomain, 0) }, makeRequest(), later) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(whereAllServersAreHeldTheOneWhoseHoldEndsFirstIsTaken)
+{
+    const ServerHealth first = makeHeld(start);
+    const ServerHealth second = makeHeld(start + 500ms);
+    const auto now = start + 600ms;
+    BOOST_TEST(choose({ makeHeldCandidate(second, now), makeHeldCandidate(first, now) },
+                      makeRequest(), now)
+               == 1);
+}
+
+BOOST_AUTO_TEST_CASE(whileManyFailIdleServersGetWorkAndHoldsGiveWay)
+{
+    auto idle = makeCandidate(Distance::SameDomain, 0);
+    idle.slowness_ = 1.5;
+    auto used = makeCandidate(Distance::SameDomain, 0);
+    const auto now = start + 3s;
+    used.lastSent_ = now;
+    auto request = makeRequest();
+    BOOST_TEST(choose({ idle, used }, request, now) == 1);
+    request.isSpread_ = true;
+    BOOST_TEST(choose({ idle, used }, request, now) == 0);
+    const ServerHealth held = makeHeld(start, false);
+    idle.lastSent_ = now;
+    BOOST_TEST(choose({ makeHeldCandidate(held, now), idle, used }, request, now) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(failuresOfTheWaySayNothingToOthers)
+{
+    BOOST_TEST(qz::isOfServer(TryResult::Cut));
+    BOOST_TEST(qz::isOfServer(TryResult::ServerError));
+    BOOST_TEST(!qz::isOfServer(TryResult::ConnectFailed));
+    BOOST_TEST(!qz::isOfServer(TryResult::Silent));
+    BOOST_TEST(!qz::isOfServer(TryResult::TimedOut));
+    BOOST_TEST(!qz::isOfServer(TryResult::Shed));
+}
+
+BOOST_AUTO_TEST_CASE(theRetryBudgetOfAllInstancesHoldsInEachWindow)
+{
+    qz::RetryBudgetLimits limits;
+    limits.ratio_ = 0.2;
+    limits.slack_ = 56.0;
+    limits.window_ = 10s;
+    constexpr int instances = 8;
+    std::vector<qz::RetryAllowance> allowances(instances, { limits, 1.0 / instances });
+    std::vector<qz::TimePoint> retries;
+    std::vector<qz::TimePoint> requests;
+    for (qz::TimePoint now = start; now < start + 60s; now += 50ms) {
+        // A pause in the requests is the hardest case: the ratio shrinks, the slack does not.
+        const bool isBusy = (now - start) % 20s < 8s;
+        for (auto &allowance : allowances) {
+            if (isBusy) {
+                allowance.countRequest(now);
+                requests.push_back(now);
+            }
+            if (allowance.take(now)) {
+                retries.push_back(now);
+            }
+        }
+    }
+    for (qz::TimePoint begin = start; begin < start + 50s; begin += 250ms) {
+        const auto countIn = [&](const std::vector<qz::TimePoint> &times, qz::TimePoint from) {
+            return std::count_if(times.begin(), times.end(), [&](qz::TimePoint time) {
+                return time >= from && time < from + limits.window_;
+            });
+        };
+        const auto most = std::max({ countIn(requests, begin), countIn(requests, begin - 5s),
+                                     countIn(requests, begin - 10s) });
+        BOOST_TEST(countIn(retries, begin) <= limits.ratio_ * most + limits.slack_);
+    }
+    BOOST_TEST(!retries.empty());
+}
+
+BOOST_AUTO_TEST_CASE(anInstanceWithoutAPartOfTheSlackSendsNoSecondTriesOfItsOwn)
+{
+    qz::RetryBudgetLimits limits;
+    limits.slack_ = 56.0;
+    qz::RetryAllowance allowance(limits, 0.0);
+    BOOST_TEST(!allowance.take(start));
+    BOOST_TEST(allowance.used(start) == 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(theUnservedShareForgetsAndNeedsEnoughRequests)
+{
+    qz::ServedShare share;
+    for (int i = 0; i < 11; ++i) {
+        share.record(false, start);
+    }
+    BOOST_TEST(share.unserved(start) == 0.0);
+    for (int i = 0; i < 9; ++i) {
+        share.record(true, start);
+    }
+    BOOST_TEST(share.unserved(start) == 11.0 / 20.0);
+    BOOST_TEST(share.unserved(start + 4s) == 0.0);
+}
+
+BOOST_AUTO_TEST_CASE(latencyEstimatesFollowTheAnswers)
+{
+    qz::ServiceLatency latency;
+    BOOST_CHECK(latency.mean(1s) == 350ms);
+    for (int i = 0; i < 400; ++i) {
+        latency.record(std::chrono::milliseconds(100 + 10 * (i % 20)));
+    }
+    BOOST_CHECK(latency.mean(1s) > 150ms && latency.mean(1s) < 240ms);
+    BOOST_CHECK(latency.high(1s) > 220ms && latency.high(1s) < 400ms);
+}
--- /dev/null
+++ b/packages/qz_placement/tests/replaytest.cpp
@@ -0,0 +1,108 @@
+// Replays of load on a small model of servers: spells of failure, slowness, floods. Time is
+// simulated; what is asserted is served, lost, late and sent, against stated bounds.
+#include "qz_placement/tests/servermodel.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace std::chrono_literals;
+using qz::testing::ReplayLoad;
+using qz::testing::ReplayResult;
+
+namespace {
+
+constexpr int seeds = 8;
+
+/// Eight servers of two slots at a third of their capacity, as in the deployments of today.
+ReplayLoad makeUsualLoad()
+{
+    ReplayLoad load;
+    load.servers_ = 8;
+    load.slots_ = 2;
+    load.perSecond_ = 33.0;
+    load.work_ = 160ms;
+    load.target_ = 600ms;
+    load.timeout_ = 2s;
+    return load;
+}
+
+/// At any time three in ten servers fail most requests at once, for some seconds.
+ReplayLoad makeSpells()
+{
+    ReplayLoad load = makeUsualLoad();
+    load.spellShare_ = 0.3;
+    load.spellLength_ = 9s;
+    load.spellFails_ = 0.85;
+    return load;
+}
+
+ReplayResult replay(const ReplayLoad &load)
+{
+    ReplayResult sum;
+    for (int seed = 1; seed <= seeds; ++seed) {
+        sum += qz::testing::replay(load, static_cast<unsigned>(seed));
+    }
+    return sum;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(soundServersServeEverythingInTime)
+{
+    const ReplayResult result = replay(makeUsualLoad());
+    BOOST_TEST(result.lost_ == 0);
+    BOOST_TEST(result.refused_ == 0);
+    BOOST_TEST(result.served_ > 0);
+    BOOST_TEST(result.late_ < result.served_ / 100);
+}
+
+BOOST_AUTO_TEST_CASE(spellsOfFailureCostAFewRequestsThatMayNotBeRepeated)
+{
+    ReplayLoad load = makeSpells();
+    load.isRepeatable_ = false;
+    const ReplayResult result = replay(load);
+    // Without evidence 0.3 x 0.85 of the requests are lost.
+    BOOST_TEST(result.lost_ < result.asked_ * 0.08);
+    BOOST_TEST(result.refused_ == 0);
+    BOOST_TEST(result.sent_ == result.asked_);
+}
+
+BOOST_AUTO_TEST_CASE(spellsOfFailureCostRepeatableRequestsNearlyNothing)
+{
+    ReplayLoad load = makeSpells();
+    load.isRepeatable_ = true;
+    const ReplayResult result = replay(load);
+    BOOST_TEST(result.lost_ < result.asked_ * 0.01);
+    BOOST_TEST(result.sent_ - result.asked_ < result.asked_ * 0.2);
+}
+
+BOOST_AUTO_TEST_CASE(soundServersStayInUseWhileOthersFail)
+{
+    ReplayLoad load = makeSpells();
+    load.isRepeatable_ = false;
+    const ReplayResult result = replay(load);
+    // The floor of the deployments: seven in ten, in each two seconds with many failures.
+    BOOST_TEST(result.windowsBelowFloor_ <= result.windows_ / 50);
+}
+
+BOOST_AUTO_TEST_CASE(slowServersGetLessWork)
+{
+    ReplayLoad load = makeUsualLoad();
+    load.slowServers_ = 2;
+    load.slowFactor_ = 8.0;
+    const ReplayResult result = replay(load);
+    // The first request to a slow server can outlast its time before it is known as slow.
+    BOOST_TEST(result.lost_ <= load.slowServers_ * seeds);
+    BOOST_TEST(result.late_ < result.asked_ * 0.06);
+}
+
+BOOST_AUTO_TEST_CASE(aFloodIsRefusedAtOnceAndTheRestServed)
+{
+    ReplayLoad load = makeUsualLoad();
+    load.perSecond_ = 200.0; // Twice the capacity.
+    const ReplayResult result = replay(load);
+    const double capacity = 8 * 2 / 0.16 * 30 * seeds;
+    BOOST_TEST(result.served_ > capacity * 0.85);
+    // What is sent is served: nothing runs out of its time at a server.
+    BOOST_TEST(result.lost_ < result.asked_ * 0.02);
+    BOOST_CHECK(result.longestRefusal_ < 100ms);
+}
--- /dev/null
+++ b/packages/qz_placement/tests/servermodel.h
@@ -0,0 +1,290 @@
+// A model of backend servers under load, driven by the decisions of this package.
+#pragma once
+
+#include "qz_placement/qz_placement.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace qz::testing {
+
+struct ReplayLoad
+{
+    int servers_ = 8;
+    int slots_ = 2;
+    double perSecond_ = 33.0;
+    Duration work_{};
+    Duration target_{};
+    Duration timeout_{};
+    bool isRepeatable_ = false;
+    int maxAttempts_ = 2;
+    double spellShare_ = 0.0; ///< Servers that fail at a time.
+    Duration spellLength_ = std::chrono::seconds(9);
+    double spellFails_ = 0.0; ///< Requests that a failing server resets at once.
+    int slowServers_ = 0;
+    double slowFactor_ = 1.0;
+    Duration length_ = std::chrono::seconds(30);
+};
+
+struct ReplayResult
+{
+    int asked_ = 0;
+    int served_ = 0;
+    int late_ = 0;
+    int lost_ = 0;
+    int refused_ = 0;
+    int sent_ = 0;
+    int windows_ = 0;           ///< Of two seconds.
+    int windowsBelowFloor_ = 0; ///< Too few sound servers in use, many requests unserved.
+    Duration longestRefusal_{ 0 };
+
+    ReplayResult &operator+=(const ReplayResult &other)
+    {
+        asked_ += other.asked_;
+        served_ += other.served_;
+        late_ += other.late_;
+        lost_ += other.lost_;
+        refused_ += other.refused_;
+        sent_ += other.sent_;
+        windows_ += other.windows_;
+        windowsBelowFloor_ += other.windowsBelowFloor_;
+        longestRefusal_ = std::max(longestRefusal_, other.longestRefusal_);
+        return *this;
+    }
+};
+
+/// Runs requests against modelled servers in order of time.
+class ServerModel
+{
+public:
+    ServerModel(const ReplayLoad &load, unsigned seed)
+        : load_(load)
+        , random_(seed)
+        , allowance_({ 0.2, 56.0, std::chrono::seconds(10) }, 1.0)
+        , servers_(static_cast<std::size_t>(load.servers_))
+    {
+        for (std::size_t i = 0; i < servers_.size(); ++i) {
+            servers_[i].factor_ = static_cast<int>(i) < load.slowServers_ ? load.slowFactor_ : 1.0;
+            std::uniform_int_distribution<Duration::rep> offset(0, load.spellLength_.count());
+            servers_[i].spellOffset_ = Duration(offset(random_));
+        }
+    }
+
+    ReplayResult run()
+    {
+        scheduleArrivals();
+        TimePoint windowEnd = start + window;
+        while (!events_.empty()) {
+            const auto next = events_.begin();
+            now_ = next->first;
+            const auto work = std::move(next->second);
+            events_.erase(next);
+            while (now_ >= windowEnd) {
+                closeWindow();
+                windowEnd += window;
+            }
+            work();
+        }
+        return result_;
+    }
+
+private:
+    struct Request
+    {
+        TimePoint arrivedAt_;
+        std::vector<std::size_t> tried_;
+    };
+    struct Server
+    {
+        ServerHealth health_;
+        double factor_ = 1.0;
+        Duration spellOffset_{};
+        std::map<Duration::rep, bool> spells_; ///< By number of the spell.
+        std::multimap<TimePoint, int> inFlight_;
+        std::vector<TimePoint> slotFreeAt_;
+        TimePoint lastSent_{};
+        TimePoint lastFailed_{};
+        bool isUsedInWindow_ = false;
+    };
+    using RequestPtr = std::shared_ptr<Request>;
+
+    static constexpr TimePoint start{ std::chrono::hours(1) };
+    static constexpr Duration window = std::chrono::seconds(2);
+
+    void at(TimePoint time, std::function<void()> work) { events_.emplace(time, std::move(work)); }
+
+    void scheduleArrivals()
+    {
+        std::exponential_distribution<double> gap(load_.perSecond_);
+        TimePoint time = start;
+        while (time < start + load_.length_) {
+            time += std::chrono::duration_cast<Duration>(
+                    std::chrono::duration<double>(gap(random_)));
+            at(time, [this, time] {
+                ++result_.asked_;
+                allowance_.countRequest(now_);
+                place(std::make_shared<Request>(Request{ time, {} }));
+            });
+        }
+    }
+
+    bool isInSpell(Server &server)
+    {
+        const auto number = (now_ - start + server.spellOffset_) / load_.spellLength_;
+        const auto found = server.spells_.find(number);
+        if (found != server.spells_.end()) {
+            return found->second;
+        }
+        return server.spells_[number] = std::bernoulli_distribution(load_.spellShare_)(random_);
+    }
+
+    PlacementRequest makeRequest(const Request &request)
+    {
+        PlacementRequest made;
+        made.isRepeatable_ = load_.isRepeatable_;
+        made.target_ = load_.target_;
+        made.timeLeft_ = request.arrivedAt_ + load_.timeout_ - now_;
+        made.expected_ = latency_.mean(load_.target_);
+        made.isSpread_ = share_.unserved(now_) > 0.12;
+        return made;
+    }
+
+    void place(const RequestPtr &request)
+    {
+        std::vector<PlacementCandidate> candidates;
+        for (std::size_t i = 0; i < servers_.size(); ++i) {
+            const Server &server = servers_[i];
+            PlacementCandidate candidate;
+            candidate.state_ = server.health_.state(now_);
+            candidate.heldUntil_ = server.health_.heldUntil();
+            candidate.heldSince_ = server.health_.heldSince();
+            candidate.lastSent_ = server.lastSent_;
+            candidate.slots_ = load_.slots_;
+            candidate.inFlight_ = static_cast<int>(server.inFlight_.size());
+            candidate.slowness_ = server.health_.slowness(latency_.mean(load_.target_));
+            candidate.oldestWait_ = server.inFlight_.empty()
+                    ? Duration::zero()
+                    : now_ - server.inFlight_.begin()->first;
+            candidate.isTried_ = std::count(request->tried_.begin(), request->tried_.end(), i) > 0;
+            candidates.push_back(candidate);
+        }
+        const auto placement = choosePlacement(candidates, makeRequest(*request), {}, now_);
+        if (!placement) {
+            end(*request, request->tried_.empty() ? result_.refused_ : result_.lost_, false);
+            if (request->tried_.empty()) {
+                result_.longestRefusal_ =
+                        std::max(result_.longestRefusal_, now_ - request->arrivedAt_);
+            }
+            return;
+        }
+        send(request, placement->index_);
+    }
+
+    void send(const RequestPtr &request, std::size_t index)
+    {
+        Server &server = servers_[index];
+        request->tried_.push_back(index);
+        ++result_.sent_;
+        server.lastSent_ = now_;
+        server.isUsedInWindow_ = true;
+        const TimePoint sentAt = now_;
+        server.inFlight_.emplace(sentAt, 0);
+        if (isInSpell(server) && std::bernoulli_distribution(load_.spellFails_)(random_)) {
+            at(now_ + std::chrono::milliseconds(2),
+               [this, request, index, sentAt] { fail(request, index, sentAt, TryResult::Cut); });
+            return;
+        }
+        std::lognormal_distribution<double> work(-0.125, 0.5);
+        const auto duration =
+                std::chrono::duration_cast<Duration>(load_.work_ * server.factor_ * work(random_));
+        server.slotFreeAt_.resize(static_cast<std::size_t>(load_.slots_), start);
+        auto slot = std::min_element(server.slotFreeAt_.begin(), server.slotFreeAt_.end());
+        *slot = std::max(*slot, now_) + duration;
+        const TimePoint limit = request->arrivedAt_ + load_.timeout_;
+        if (*slot > limit) {
+            at(limit, [this, request, index, sentAt] {
+                fail(request, index, sentAt, TryResult::TimedOut);
+            });
+            return;
+        }
+        at(*slot, [this, request, index, sentAt] { succeed(request, index, sentAt); });
+    }
+
+    void finishTry(std::size_t index, TimePoint sentAt, TryResult result)
+    {
+        Server &server = servers_[index];
+        server.inFlight_.erase(server.inFlight_.find(sentAt));
+        server.health_.record(result, now_ - sentAt, load_.isRepeatable_, now_);
+    }
+
+    void fail(const RequestPtr &request, std::size_t index, TimePoint sentAt, TryResult result)
+    {
+        finishTry(index, sentAt, result);
+        servers_[index].lastFailed_ = now_;
+        const bool mayRetry = load_.isRepeatable_ && result == TryResult::Cut
+                && static_cast<int>(request->tried_.size()) < load_.maxAttempts_
+                && allowance_.take(now_);
+        if (mayRetry) {
+            place(request);
+        } else {
+            end(*request, result_.lost_, false);
+        }
+    }
+
+    void succeed(const RequestPtr &request, std::size_t index, TimePoint sentAt)
+    {
+        finishTry(index, sentAt, TryResult::Answered);
+        latency_.record(now_ - sentAt);
+        result_.late_ += now_ - request->arrivedAt_ > load_.target_ ? 1 : 0;
+        end(*request, result_.served_, true);
+    }
+
+    void end(const Request & /*request*/, int &counter, bool isServed)
+    {
+        ++counter;
+        share_.record(isServed, now_);
+        ++windowEnds_;
+        windowUnserved_ += isServed ? 0 : 1;
+    }
+
+    void closeWindow()
+    {
+        int sound = 0;
+        int used = 0;
+        for (Server &server : servers_) {
+            const bool isSound = now_ - server.lastFailed_ > window;
+            sound += isSound ? 1 : 0;
+            used += isSound && server.isUsedInWindow_ ? 1 : 0;
+            server.isUsedInWindow_ = false;
+        }
+        ++result_.windows_;
+        const bool manyFail =
+                windowUnserved_ * 10 > windowEnds_ && windowUnserved_ * 2 < windowEnds_;
+        result_.windowsBelowFloor_ += manyFail && used < 0.7 * sound ? 1 : 0;
+        windowEnds_ = 0;
+        windowUnserved_ = 0;
+    }
+
+    const ReplayLoad load_;
+    std::mt19937 random_;
+    RetryAllowance allowance_;
+    ServiceLatency latency_;
+    ServedShare share_;
+    std::vector<Server> servers_;
+    std::multimap<TimePoint, std::function<void()>> events_;
+    TimePoint now_ = start;
+    ReplayResult result_;
+    int windowEnds_ = 0;
+    int windowUnserved_ = 0;
+};
+
+inline ReplayResult replay(const ReplayLoad &load, unsigned seed)
+{
+    return ServerModel(load, seed).run();
+}
+
+} // namespace qz::testing
--- a/packages/qz_routing/table/trafficsplit.cpp
+++ b/packages/qz_routing/table/trafficsplit.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Points of the sequence at which a process may start; enough for shares of a few per cent.
+constexpr int startSteps = 100;
+
 bool isSame(const std::vector<TrafficShare> &a, const std::vector<TrafficShare> &b)
 {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](const auto &x, const auto &y) {
@@ -19,24 +22,17 @@
 
 TrafficSplit::Credits TrafficSplit::makeCredits(const RequestRoute &route, std::mt19937_64 &random)
 {
-    Credits credits{ route.shares_, {} };
-    for (const TrafficShare &share : route.shares_) {
-        std::uniform_real_distribution<double> start(0.0, share.weight_);
-        credits.values_.push_back(start(random));
+    Credits credits{ route.shares_, std::vector<double>(route.shares_.size(), 0.0) };
+    std::uniform_int_distribution<int> steps(0, startSteps - 1);
+    for (int left = steps(random); left > 0; --left) {
+        step(route, credits);
     }
     return credits;
 }
 
-const ServiceId &TrafficSplit::next(const RequestRoute &route, std::mt19937_64 &random)
+std::size_t TrafficSplit::step(const RequestRoute &route, Credits &credits)
 {
-    if (route.shares_.size() == 1) {
-        return route.shares_.front().service_;
-    }
-    auto found = routes_.find(route.name_);
-    if (found == routes_.end() || !isSame(found->second.shares_, route.shares_)) {
-        found = routes_.insert_or_assign(route.name_, makeCredits(route, random)).first;
-    }
-    std::vector<double> &values = found->second.values_;
+    std::vector<double> &values = credits.values_;
     double total = 0.0;
     for (std::size_t i = 0; i < values.size(); ++i) {
         values[i] += route.shares_[i].weight_;
@@ -45,7 +41,19 @@
     const auto best = static_cast<std::size_t>(std::max_element(values.begin(), values.end())
                                                - values.begin());
     values[best] -= total;
-    return route.shares_[best].service_;
+    return best;
+}
+
+const ServiceId &TrafficSplit::next(const RequestRoute &route, std::mt19937_64 &random)
+{
+    if (route.shares_.size() == 1) {
+        return route.shares_.front().service_;
+    }
+    auto found = routes_.find(route.name_);
+    if (found == routes_.end() || !isSame(found->second.shares_, route.shares_)) {
+        found = routes_.insert_or_assign(route.name_, makeCredits(route, random)).first;
+    }
+    return route.shares_[step(route, found->second)].service_;
 }
 
 } // namespace qz
--- a/packages/qz_routing/table/trafficsplit.h
+++ b/packages/qz_routing/table/trafficsplit.h
@@ -26,6 +26,7 @@
         std::vector<TrafficShare> shares_;
         std::vector<double> values_;
     };
+    static std::size_t step(const RequestRoute &route, Credits &credits);
     static Credits makeCredits(const RequestRoute &route, std::mt19937_64 &random);
 
     std::map<std::string, Credits> routes_; ///< By name; routes with one share are left out.
