Test the path to the platform: forwarding, replicas, presence, the store's failures

A request whose time is shorter than a latency that was only assumed is no longer refused: found by the test of a request's time.

--- a/packages/qz_forward/run/forwardrun.cpp
+++ b/packages/qz_forward/run/forwardrun.cpp
@@ -228,7 +228,12 @@
     request.isRepeatable_ = route_->isRepeatable_;
     request.target_ = route_->target_;
     request.timeLeft_ = deadline_ - forwarder_.loop().now();
-    request.expected_ = forwarder_.latency(service_).mean(route_->target_);
+    const ServiceLatency &latency = forwarder_.latency(service_);
+    request.expected_ = latency.mean(route_->target_);
+    if (!latency.isKnown()) {
+        // What is only assumed must not be a reason to refuse.
+        request.expected_ = std::min(request.expected_, request.timeLeft_ / 2);
+    }
     request.isSpread_ =
             forwarder_.servedShare(service_).unserved(forwarder_.loop().now()) > spreadLevel;
     return request;
--- /dev/null
+++ b/packages/qz_forward/tests/backendtabletest.cpp
@@ -0,0 +1,88 @@
+// Tests of the list of backend servers and its changes.
+#include "qz_forward/backends/backendtable.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+qz::ListedBackend makeListed(const std::string &id, std::int64_t incarnation = 1)
+{
+    qz::ListedBackend listed;
+    listed.id_ = qz::BackendServerId(id);
+    listed.incarnation_ = incarnation;
+    listed.service_ = qz::ServiceId("service");
+    listed.endpoint_ = { "127.0.0.1", 9 };
+    return listed;
+}
+
+const qz::BackendServerId idA("a");
+const qz::ServiceId service("service");
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(aRestartUnderTheSameIdIsANewServer)
+{
+    qz::EventLoop loop;
+    qz::BackendTable table(loop);
+    table.put(makeListed("a", 1));
+    const auto before = table.find(idA);
+    before->health().record(qz::TryResult::Cut, 1ms, true, loop.now());
+    table.put(makeListed("a", 1));
+    BOOST_CHECK(table.find(idA) == before);
+    table.put(makeListed("a", 2));
+    BOOST_CHECK(table.find(idA) != before);
+    BOOST_TEST(!before->isOpen());
+    BOOST_CHECK(table.find(idA)->health().state(loop.now()) == qz::ServerHealth::State::Good);
+    BOOST_TEST(table.serversOf(service).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(aServerThatLeftIsClosedAtOnce)
+{
+    qz::EventLoop loop;
+    qz::BackendTable table(loop);
+    table.put(makeListed("a"));
+    const auto server = table.find(idA);
+    table.remove(idA);
+    BOOST_TEST(!server->isOpen());
+    BOOST_TEST(table.serversOf(service).empty());
+}
+
+BOOST_AUTO_TEST_CASE(afterAnOutageMissingServersAreKeptForTheGraceTime)
+{
+    qz::EventLoop loop;
+    qz::BackendTable table(loop);
+    table.put(makeListed("a"));
+    table.put(makeListed("b"));
+    table.startGrace(100ms);
+    table.replaceAll({});
+    BOOST_TEST(table.serversOf(service).size() == 2);
+    table.put(makeListed("a")); // It is back in time.
+    loop.runFor(200ms);
+    BOOST_TEST(table.serversOf(service).size() == 1);
+    BOOST_TEST(table.find(qz::BackendServerId("b")) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(aDrainingServerStaysListedAndIsNotOpen)
+{
+    qz::EventLoop loop;
+    qz::BackendTable table(loop);
+    table.put(makeListed("a"));
+    auto draining = makeListed("a");
+    draining.isDraining_ = true;
+    table.put(draining);
+    BOOST_TEST(!table.find(idA)->isOpen());
+}
+
+BOOST_AUTO_TEST_CASE(aServerThatMovesToAnotherServiceIsNotLeftInTheOldOne)
+{
+    qz::EventLoop loop;
+    qz::BackendTable table(loop);
+    table.put(makeListed("a"));
+    auto moved = makeListed("a");
+    moved.service_ = qz::ServiceId("other");
+    table.put(moved);
+    BOOST_TEST(table.serversOf(service).empty());
+    BOOST_TEST(table.serversOf(qz::ServiceId("other")).size() == 1);
+}
--- a/packages/qz_placement/health/servicelatency.cpp
+++ b/packages/qz_placement/health/servicelatency.cpp
@@ -36,14 +36,19 @@
     high_ = std::max(high_, mean_);
 }
 
+bool ServiceLatency::isKnown() const
+{
+    return count_ >= enoughAnswers;
+}
+
 Duration ServiceLatency::mean(Duration target) const
 {
-    return count_ < enoughAnswers ? scaled(target, assumedMean) : mean_;
+    return isKnown() ? mean_ : scaled(target, assumedMean);
 }
 
 Duration ServiceLatency::high(Duration target) const
 {
-    return count_ < enoughAnswers ? scaled(target, assumedHigh) : high_;
+    return isKnown() ? high_ : scaled(target, assumedHigh);
 }
 
 } // namespace qz
--- a/packages/qz_placement/health/servicelatency.h
+++ b/packages/qz_placement/health/servicelatency.h
@@ -12,6 +12,9 @@
 public:
     void record(Duration took);
 
+    /// There were enough answers to tell.
+    bool isKnown() const;
+
     /// Mean time of an answer; @p target is that of the request that asks.
     Duration mean(Duration target) const;
 
--- /dev/null
+++ b/packages/qz_presence/tests/instancedirectorytest.cpp
@@ -0,0 +1,175 @@
+// Tests of who takes callers and who reads from the store.
+#include "qz_presence/directory/instancedirectory.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const qz::TimePoint start{ 1h };
+
+qz::InstanceRecord makeRecord(int number, const std::string &domain = "d")
+{
+    const std::string name = domain + "-" + std::to_string(number);
+    return { qz::InstanceId(name),
+             { "127.0.0.1", static_cast<std::uint16_t>(1000 + number) },
+             { "127.0.0.1", static_cast<std::uint16_t>(2000 + number) },
+             { qz::RegionId("r"), qz::FailureDomainId(domain) } };
+}
+
+/// The views of several instances of one failure domain.
+struct Fleet
+{
+    explicit Fleet(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            views_.push_back(std::make_unique<qz::InstanceDirectory>(
+                    makeRecord(i), qz::InstanceDirectory::Limits{}));
+            views_.back()->setSelfState({ true, false });
+        }
+        for (int i = 0; i < count; ++i) {
+            for (int j = 0; j < count; ++j) {
+                views_[i]->put(makeRecord(j), start);
+            }
+        }
+        hearAll(start, {});
+    }
+
+    /// Everybody hears everybody but those in @p silent.
+    void hearAll(qz::TimePoint now, const std::vector<int> &silent)
+    {
+        for (std::size_t i = 0; i < views_.size(); ++i) {
+            for (std::size_t j = 0; j < views_.size(); ++j) {
+                const bool isSilent = std::count(silent.begin(), silent.end(), int(j)) > 0;
+                if (i != j && !isSilent) {
+                    views_[i]->hear(makeRecord(int(j)).id_, { true, lost_.count(int(j)) > 0 }, now);
+                }
+            }
+        }
+    }
+
+    std::vector<int> readers(qz::TimePoint now) const
+    {
+        std::vector<int> found;
+        for (std::size_t i = 0; i < views_.size(); ++i) {
+            if (views_[i]->isReader(now)) {
+                found.push_back(int(i));
+            }
+        }
+        return found;
+    }
+
+    std::vector<std::unique_ptr<qz::InstanceDirectory>> views_;
+    std::set<int> lost_; ///< Instances that cannot read from the store.
+};
+
+std::vector<std::string> idsOf(const std::vector<qz::InstanceRecord> &records)
+{
+    std::vector<std::string> ids;
+    for (const auto &record : records) {
+        ids.push_back(record.id_.value());
+    }
+    return ids;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(allInstancesNameTheSameFewEntries)
+{
+    const Fleet fleet(8);
+    const auto first = idsOf(fleet.views_[0]->entries(start));
+    BOOST_TEST(first.size() == 2);
+    for (const auto &view : fleet.views_) {
+        BOOST_TEST(idsOf(view->entries(start)) == first, boost::test_tools::per_element());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(anEntryThatFallsSilentIsReplacedAndTheOtherStays)
+{
+    Fleet fleet(8);
+    const auto before = idsOf(fleet.views_[0]->entries(start));
+    const int silent = std::stoi(before[0].substr(2));
+    const auto now = start + 2s;
+    fleet.hearAll(now, { silent });
+    const int watcher = silent == 7 ? 6 : 7;
+    const auto after = idsOf(fleet.views_[watcher]->entries(now));
+    BOOST_TEST(after.size() == 2);
+    BOOST_TEST(std::count(after.begin(), after.end(), before[0]) == 0);
+    BOOST_TEST(std::count(after.begin(), after.end(), before[1]) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(aStoppingInstanceIsNamedNoMore)
+{
+    Fleet fleet(3);
+    fleet.views_[0]->setSelfState({ false, false });
+    const auto names = idsOf(fleet.views_[0]->entries(start));
+    BOOST_TEST(std::count(names.begin(), names.end(), "d-0") == 0);
+    fleet.views_[1]->hear(qz::InstanceId("d-0"), { false, false }, start);
+    const auto others = idsOf(fleet.views_[1]->entries(start));
+    BOOST_TEST(std::count(others.begin(), others.end(), "d-0") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(anInstanceThatHearsNobodyNamesItself)
+{
+    Fleet fleet(4);
+    const auto alone = fleet.views_[2]->entries(start + 10s);
+    BOOST_REQUIRE(alone.size() == 1);
+    BOOST_TEST(alone[0].id_.value() == "d-2");
+    BOOST_TEST(fleet.views_[2]->isReader(start + 10s));
+}
+
+BOOST_AUTO_TEST_CASE(twoInstancesReadFromTheStore)
+{
+    const Fleet fleet(12);
+    BOOST_TEST(fleet.readers(start).size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(aReaderThatLosesTheStoreIsJoinedByTheNextAndTheNumberIsBounded)
+{
+    Fleet fleet(12);
+    const auto before = fleet.readers(start);
+    fleet.lost_ = { before[0] };
+    fleet.hearAll(start, {});
+    fleet.views_[before[0]]->setSelfState({ true, true });
+    // The one that lost it goes on trying.
+    BOOST_TEST(fleet.readers(start).size() == 3);
+    for (int i = 0; i < 12; ++i) {
+        fleet.lost_.insert(i);
+        fleet.views_[i]->setSelfState({ true, true });
+    }
+    fleet.hearAll(start, {});
+    BOOST_TEST(fleet.readers(start).size() == qz::InstanceDirectory::Limits().readerCandidates_);
+}
+
+BOOST_AUTO_TEST_CASE(ofOtherDomainsTheFirstAreKnownWithoutHearingThem)
+{
+    qz::InstanceDirectory directory(makeRecord(0), {});
+    for (int i = 0; i < 6; ++i) {
+        directory.put(makeRecord(i, "e"), start);
+        directory.put(makeRecord(i, "f"), start);
+    }
+    BOOST_TEST(directory.remoteEntries().size() == 4);
+    BOOST_TEST(directory.remoteReaders().size() == 4);
+    BOOST_TEST(directory.domainCount() == 3);
+    BOOST_TEST(directory.neighbours().empty());
+    BOOST_TEST(!directory.isNeighbour(qz::InstanceId("e-1")));
+}
+
+BOOST_AUTO_TEST_CASE(aNewRecordCountsAsLiveButTakesNoCallersYet)
+{
+    qz::InstanceDirectory directory(makeRecord(0), {});
+    BOOST_TEST(directory.put(makeRecord(1), start));
+    BOOST_TEST(!directory.put(makeRecord(1), start));
+    BOOST_TEST(directory.entries(start).empty());
+    directory.hear(makeRecord(1).id_, { true, false }, start);
+    BOOST_TEST(directory.entries(start).size() == 1);
+    directory.lose(makeRecord(1).id_);
+    BOOST_TEST(directory.entries(start).empty());
+}
--- /dev/null
+++ b/packages/qz_replica/tests/replicatest.cpp
@@ -0,0 +1,147 @@
+// Tests of copies of tables, alone and between instances on real links.
+#include "qz_replica/qz_replica.h"
+
+#include "qz_http/tests/rawsocket.h"
+#include "qz_presence/exchange/presencedriver.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+qz::TableUpdate makeWhole(std::uint64_t version, std::vector<qz::ReplicaRow> rows,
+                          const std::string &table = "t")
+{
+    qz::TableUpdate update;
+    update.table_ = table;
+    update.isWhole_ = true;
+    update.version_ = version;
+    update.rows_ = std::move(rows);
+    return update;
+}
+
+qz::TableUpdate makeChange(std::uint64_t from, std::uint64_t version,
+                           std::vector<qz::ReplicaRow> rows)
+{
+    qz::TableUpdate update = makeWhole(version, std::move(rows));
+    update.isWhole_ = false;
+    update.fromVersion_ = from;
+    return update;
+}
+
+/// One instance with its links and replicas.
+struct Node
+{
+    Node(qz::EventLoop &loop, const std::string &name, const std::string &domain)
+        : record_{ qz::InstanceId(name),
+                   { "127.0.0.1", 1 },
+                   { "127.0.0.1", qz::testing::findFreePort() },
+                   { qz::RegionId("r"), qz::FailureDomainId(domain) } }
+        , directory_(record_, {})
+    {
+        qz::PeerLinks::Builder builder;
+        builder.setLoop(loop).setSelf(record_.id_, "1").setListenEndpoint(record_.peerEndpoint_);
+        builder.setFleetKey("a key of this test");
+        links_ = builder.build();
+        BOOST_REQUIRE(links_->start().has_value());
+        presence_ = std::make_unique<qz::PresenceDriver>(loop, *links_, directory_);
+        replicas_ = std::make_unique<qz::ReplicaExchange>(loop, *links_, directory_);
+        for (const char *table : { "t", "u" }) {
+            replicas_->addTable(table, [this](const qz::TableUpdate &) { ++updates_; });
+        }
+        presence_->setVersions([this] { return replicas_->versions(); });
+        presence_->setVersionsHandler([this](const qz::InstanceId &from, const auto &versions) {
+            replicas_->compare(from, versions);
+        });
+        replicas_->start();
+    }
+
+    qz::InstanceRecord record_;
+    qz::InstanceDirectory directory_;
+    std::unique_ptr<qz::PeerLinks> links_;
+    std::unique_ptr<qz::PresenceDriver> presence_;
+    std::unique_ptr<qz::ReplicaExchange> replicas_;
+    int updates_ = 0;
+};
+
+void introduce(const std::vector<Node *> &nodes)
+{
+    std::vector<qz::InstanceRecord> records;
+    for (const Node *node : nodes) {
+        records.push_back(node->record_);
+    }
+    for (Node *node : nodes) {
+        node->presence_->addInstances(records);
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(versionsOnlyRiseAndGapsAreRefused)
+{
+    qz::TableReplica replica("t");
+    BOOST_TEST(!replica.apply(makeChange(0, 3, { { "a", "1", false } })));
+    BOOST_TEST(replica.apply(makeWhole(5, { { "a", "1", false }, { "b", "2", false } })));
+    BOOST_TEST(!replica.apply(makeWhole(5, {})));
+    BOOST_TEST(!replica.apply(makeWhole(4, {})));
+    BOOST_TEST(!replica.apply(makeChange(6, 8, {})));
+    BOOST_TEST(replica.apply(makeChange(4, 7, { { "a", "", true }, { "c", "3", false } })));
+    const auto whole = replica.makeWhole();
+    BOOST_TEST(whole.version_ == 7);
+    BOOST_REQUIRE(whole.rows_.size() == 2);
+    BOOST_TEST(whole.rows_[0].key_ == "b");
+    BOOST_TEST(whole.rows_[1].key_ == "c");
+}
+
+BOOST_AUTO_TEST_CASE(neighboursGetWhatOneHasReadAndHandNothingOn)
+{
+    qz::EventLoop loop;
+    Node a(loop, "a", "d");
+    Node b(loop, "b", "d");
+    Node c(loop, "c", "d");
+    introduce({ &a, &b, &c });
+    a.replicas_->publish(makeWhole(3, { { "k", "v", false } }));
+    loop.runFor(300ms);
+    BOOST_TEST(b.replicas_->version("t") == 3);
+    BOOST_TEST(c.replicas_->version("t") == 3);
+    b.replicas_->publish(makeWhole(3, { { "k", "v", false } })); // Read by the second reader.
+    loop.runFor(100ms);
+    BOOST_TEST(a.updates_ == 1);
+    BOOST_TEST(b.updates_ == 1);
+    BOOST_TEST(c.updates_ == 1);
+}
+
+BOOST_AUTO_TEST_CASE(anInstanceThatStartsLaterGetsTheTablesFromItsNeighbours)
+{
+    qz::EventLoop loop;
+    Node a(loop, "a", "d");
+    a.presence_->start();
+    a.replicas_->publish(makeWhole(3, { { "k", "v", false } }));
+    Node late(loop, "late", "d");
+    late.presence_->start();
+    introduce({ &a, &late });
+    loop.runFor(900ms);
+    BOOST_TEST(late.replicas_->version("t") == 3);
+}
+
+BOOST_AUTO_TEST_CASE(aDomainWhoseReadersHearNothingGetsEachTableFromAnotherDomain)
+{
+    qz::EventLoop loop;
+    Node a(loop, "a", "d");
+    Node b(loop, "b", "e");
+    Node c(loop, "c", "e");
+    introduce({ &a, &b, &c });
+    // Two tables change together; neither may be forgotten for the other.
+    a.replicas_->publish(makeWhole(3, { { "k", "v", false } }, "t"));
+    a.replicas_->publish(makeWhole(4, { { "k", "v", false } }, "u"));
+    loop.runFor(300ms);
+    BOOST_TEST(b.replicas_->version("t") == 0); // Left to its own reader for a moment.
+    loop.runFor(900ms);
+    for (const Node *node : { &b, &c }) {
+        BOOST_TEST(node->replicas_->version("t") == 3);
+        BOOST_TEST(node->replicas_->version("u") == 4);
+    }
+}
