Bound the log and never wait for its reader; remove claim homes

Lines of one event are bounded by second and the others counted; a full or closed pipe drops lines and counts them. Answered requests get a line of their own event. Claim homes were never joined to the daemon, and on the platform a caller's attempt reaches one instance only.

--- a/packages/qz_core/logging/logger.cpp
+++ b/packages/qz_core/logging/logger.cpp
@@ -1,12 +1,16 @@
 // JSON lines by log4cplus. log4cplus keeps threads of its own; no decision runs there.
 #include "qz_core/logging/logger.h"
 
-#include <log4cplus/configurator.h>
-#include <log4cplus/consoleappender.h>
+#include "qz_core/logging/lineoutput.h"
+#include "qz_core/logging/loglimiter.h"
+
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
+
+#include <unistd.h>
 
 #include <chrono>
 #include <memory>
@@ -15,6 +19,45 @@
 
 namespace {
 
+/// Of each event; what an engineer can read, and a small part of a processor's time.
+constexpr std::uint64_t linesPerSecond = 40;
+
+/// Gives each line to a LineOutput.
+class LineAppender : public log4cplus::Appender
+{
+public:
+    explicit LineAppender(std::shared_ptr<LineOutput> output)
+        : output_(std::move(output))
+    {
+    }
+    ~LineAppender() override { destructorImpl(); }
+    LineAppender(const LineAppender &) = delete;
+    LineAppender &operator=(const LineAppender &) = delete;
+
+    void close() override { closed = true; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        output_->write(event.getMessage());
+    }
+
+private:
+    std::shared_ptr<LineOutput> output_;
+};
+
+std::shared_ptr<LineOutput> &output()
+{
+    static std::shared_ptr<LineOutput> current;
+    return current;
+}
+
+LogLimiter &limiter()
+{
+    static LogLimiter current(linesPerSecond);
+    return current;
+}
+
 std::string &instanceName()
 {
     static std::string name;
@@ -63,8 +106,8 @@
 {
     static log4cplus::Initializer initializer;
     instanceName() = std::move(instance);
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
+    output() = std::make_shared<LineOutput>(STDOUT_FILENO);
+    log4cplus::SharedAppenderPtr appender(new LineAppender(output()));
     rootLogger().removeAllAppenders();
     rootLogger().addAppender(appender);
     rootLogger().setLogLevel(toLog4cplus(level));
@@ -80,11 +123,10 @@
     return rootLogger().isEnabledFor(toLog4cplus(level));
 }
 
-void log(LogLevel level, std::string_view event, nlohmann::json fields)
+namespace {
+
+void writeLine(LogLevel level, std::string_view event, nlohmann::json fields)
 {
-    if (!isLogged(level)) {
-        return;
-    }
     using namespace std::chrono;
     const auto sinceEpoch =
             system_clock::now().time_since_epoch(); // For people, not for decisions.
@@ -96,6 +138,27 @@
     rootLogger().log(toLog4cplus(level), fields.dump(-1, ' ', false, replace));
 }
 
+} // namespace
+
+void log(LogLevel level, std::string_view event, nlohmann::json fields)
+{
+    if (!isLogged(level)) {
+        return;
+    }
+    const TimePoint now = std::chrono::steady_clock::now(); // Bounds lines, decides nothing.
+    while (const auto leftOut = limiter().takeLeftOut(now)) {
+        writeLine(LogLevel::Warning, "log-lines-left-out",
+                  { { "of_event", leftOut->event_ }, { "lines", leftOut->count_ } });
+    }
+    const std::uint64_t dropped = output() == nullptr ? 0 : output()->takeDropped();
+    if (dropped > 0) {
+        writeLine(LogLevel::Warning, "log-lines-dropped", { { "lines", dropped } });
+    }
+    if (limiter().admit(event, now)) {
+        writeLine(level, event, std::move(fields));
+    }
+}
+
 Result<LogLevel> parseLogLevel(std::string_view name)
 {
     for (const LogLevel level :
--- a/packages/qz_core/logging/logger.h
+++ b/packages/qz_core/logging/logger.h
@@ -28,8 +28,10 @@
 /// Whether lines of @p level are written; for callers whose fields cost work to make.
 bool isLogged(LogLevel level);
 
-/// Writes one JSON line: time, level, instance, event and the members of @p fields.
-/// Never pass a key, token or other secret.
+/// Writes one JSON line, without ever waiting for its reader: time, level, instance, event and the
+/// members of @p fields. Of each event so many lines are written in a second, and the others are
+/// counted in a line of their own. Never pass a key, token or other secret.
+/// @see LogLimiter, LineOutput
 void log(LogLevel level, std::string_view event, nlohmann::json fields = nlohmann::json::object());
 
 /// Reads "debug", "info", "warning" or "error".
--- a/packages/qz_forward/run/forwardrun.cpp
+++ b/packages/qz_forward/run/forwardrun.cpp
@@ -555,9 +555,9 @@
     if (route_ != nullptr && outcome != "caller-gone") {
         forwarder_.servedShare(service_).record(isFine, forwarder_.loop().now());
     }
-    const LogLevel level = isFine ? LogLevel::Debug : LogLevel::Info;
-    if (isLogged(level)) {
-        log(level, "request",
+    if (isLogged(LogLevel::Info)) {
+        // Two events, so that a flood of answered requests leaves room for the others' lines.
+        log(LogLevel::Info, isFine ? "request-answered" : "request-failed",
             { { "request", requestId_ },
               { "route", route_ == nullptr ? "" : route_->name_ },
               { "service", service_.value() },
--- a/packages/qz_once/batching/claimbatcher.h
+++ b/packages/qz_once/batching/claimbatcher.h
@@ -28,7 +28,7 @@
 /// Invariant: a group never holds two writes of the same row. The table checks all conditions
 /// of a transaction against the rows as they were before it, so two claims of one key in one
 /// group would both be applied.
-/// @see ClaimRouter
+/// @see ClaimClient
 class ClaimBatcher
 {
 public:
--- a/packages/qz_once/claims/claimclient.h
+++ b/packages/qz_once/claims/claimclient.h
@@ -23,7 +23,7 @@
 ///
 /// Invariant: a row is erased no sooner than leastKeepInSendWindows send windows after its
 /// claim, by the clock of the claimer, which is the clock of the grant.
-/// @see ClaimGrant, ClaimRouter
+/// @see ClaimGrant
 class ClaimClient
 {
 public:
--- a/packages/qz_once/qz_once.h
+++ b/packages/qz_once/qz_once.h
@@ -10,7 +10,3 @@
 #include "qz_once/claims/claimgrant.h"
 #include "qz_once/claims/claimlimits.h"
 #include "qz_once/claims/claimrow.h"
-#include "qz_once/homes/claimhome.h"
-#include "qz_once/homes/claimhomes.h"
-#include "qz_once/homes/claimmessages.h"
-#include "qz_once/homes/claimrouter.h"
