Keep each server in use by the instance that owns it

Now the entry that owns a server sends it a request after 1.3 s without one. Ruled out: spreading while many fail only (the loss cannot be foreseen), spreading by all entries (twice the requests that find a failing server).

--- a/apps/quetzaldaled/serve/servedaemon.cpp
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -6,6 +6,7 @@
 #include "qz_core/ids/randomid.h"
 #include "qz_core/logging/logger.h"
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -16,7 +17,7 @@
 using namespace std::chrono_literals;
 
 constexpr Duration tickPeriod = 1s;
-constexpr Duration readerPeriod = 200ms; ///< Checks who reads from the store.
+constexpr Duration rolePeriod = 200ms; ///< Checks who takes callers and who reads the store.
 constexpr Duration stopCheckPeriod = 100ms;
 /// Left of the stop limit for the last answers to reach their callers.
 constexpr Duration stopMargin = 300ms;
@@ -63,7 +64,7 @@
     forwarder_.setHealthListener([this](const Backend &server, Duration hold) {
         presence_.sendNote({ server.listed().id_, server.listed().incarnation_, hold });
     });
-    forwarder_.setTrialOwner([this](const Backend &server) { return ownsTrial(server); });
+    forwarder_.setOwner([this](const Backend &server) { return owns(server); });
     presence_.setNoteHandler([this](const HealthNoteMessage &note) { applyNote(note); });
     presence_.setVersions([this] { return replicas_.versions(); });
     presence_.setVersionsHandler([this](const InstanceId &from, const TableVersions &versions) {
@@ -82,7 +83,7 @@
     presence_.start();
     replicas_.start();
     platform_.start();
-    handles_.push_back(loop_.callEvery(readerPeriod, [this] { updateReader(); }));
+    handles_.push_back(loop_.callEvery(rolePeriod, [this] { updateRoles(); }));
     handles_.push_back(loop_.callEvery(tickPeriod, [this] { tick(); }));
     log(LogLevel::Info, "started",
         { { "settings", settings_.toJson() }, { "incarnation", incarnation_ } });
@@ -128,7 +129,7 @@
         areBackendsKnown_ = true;
         updateState();
     };
-    handlers.instancesTried_ = [this] { updateReader(); };
+    handlers.instancesTried_ = [this] { updateRoles(); };
     handlers.storeChanged_ = [this] { updateState(); };
     handlers.callEnded_ = [this](const std::string &call, const std::string &outcome) {
         metrics_.countStoreCall(call, outcome);
@@ -185,17 +186,17 @@
     }
 }
 
-bool ServeDaemon::ownsTrial(const Backend &server) const
+bool ServeDaemon::owns(const Backend &server) const
 {
     if (server.listed().location_.failureDomain_ != settings_.location_.failureDomain_) {
         return false;
     }
-    std::vector<std::string> entries;
-    for (const InstanceRecord &entry : directory_.entries(loop_.now())) {
-        entries.push_back(entry.id_.value());
-    }
-    const auto order = rendezvousOrder(server.listed().id_.value(), std::move(entries));
-    return !order.empty() && order.front() == settings_.instanceId_.value();
+    const std::string &key = server.listed().id_.value();
+    const auto isBefore = [&key](const std::string &a, const std::string &b) {
+        return rendezvousWeight(key, a) < rendezvousWeight(key, b);
+    };
+    const auto owner = std::max_element(entryIds_.begin(), entryIds_.end(), isBefore);
+    return owner != entryIds_.end() && *owner == settings_.instanceId_.value();
 }
 
 bool ServeDaemon::isReady() const
@@ -208,8 +209,12 @@
     presence_.setState({ isReady(), platform_.isStoreLost() });
 }
 
-void ServeDaemon::updateReader()
+void ServeDaemon::updateRoles()
 {
+    entryIds_.clear();
+    for (const InstanceRecord &entry : directory_.entries(loop_.now())) {
+        entryIds_.push_back(entry.id_.value());
+    }
     if (platform_.hasTriedInstances()) {
         platform_.setReader(directory_.isReader(loop_.now()));
     }
--- a/apps/quetzaldaled/serve/servedaemon.h
+++ b/apps/quetzaldaled/serve/servedaemon.h
@@ -39,9 +39,9 @@
     void applyRoutes(const std::shared_ptr<const RoutingTable> &routes);
     void applyNote(const HealthNoteMessage &note);
     bool isReady() const;
-    bool ownsTrial(const Backend &server) const;
+    bool owns(const Backend &server) const;
     void updateState();
-    void updateReader();
+    void updateRoles();
     void tick();
     void startStopping();
     void checkStopped();
@@ -64,6 +64,7 @@
     CallerServer ready_;
     CallerServer directoryServer_;
     CallerServer metricsServer_;
+    std::vector<std::string> entryIds_; ///< Of this failure domain, a moment ago at most.
     bool areBackendsKnown_ = false;
     bool isStopping_ = false;
     TimePoint stoppingSince_{};
--- a/packages/qz_forward/run/forwarder.cpp
+++ b/packages/qz_forward/run/forwarder.cpp
@@ -41,9 +41,9 @@
     started.start();
 }
 
-bool Forwarder::ownsTrial(const Backend &server) const
+bool Forwarder::owns(const Backend &server) const
 {
-    return !trialOwner_ || trialOwner_(server);
+    return !owner_ || owner_(server);
 }
 
 void Forwarder::recordTry(Backend &server, TryResult result, Duration took, bool isRepeatable)
--- a/packages/qz_forward/run/forwarder.h
+++ b/packages/qz_forward/run/forwarder.h
@@ -52,9 +52,9 @@
     void setRoutes(std::shared_ptr<const RoutingTable> routes) { routes_ = std::move(routes); }
     const std::shared_ptr<const RoutingTable> &routes() const { return routes_; }
 
-    /// Tells whether a server's trial belongs to this instance; without it each one does.
-    using TrialOwner = std::function<bool(const Backend &server)>;
-    void setTrialOwner(TrialOwner owner) { trialOwner_ = std::move(owner); }
+    /// Tells whether this instance owns a server; without it, each does.
+    using Owner = std::function<bool(const Backend &server)>;
+    void setOwner(Owner owner) { owner_ = std::move(owner); }
 
     void setHealthListener(HealthListener listener) { healthListener_ = std::move(listener); }
 
@@ -79,8 +79,8 @@
     std::mt19937_64 &random() { return random_; }
     ServedShare &servedShare(const ServiceId &service) { return servedShares_[service]; }
     void recordTry(Backend &server, TryResult result, Duration took, bool isRepeatable);
-    /// Whether this instance is to find out if a held server has recovered.
-    bool ownsTrial(const Backend &server) const;
+    /// Whether this instance keeps the server in use and tries it after a hold.
+    bool owns(const Backend &server) const;
     void dropLater(ForwardRun *run);
 
 private:
@@ -95,7 +95,7 @@
     double slackPart_ = 0.0;
     std::map<ServiceId, ServedShare> servedShares_;
     HealthListener healthListener_;
-    TrialOwner trialOwner_;
+    Owner owner_;
     std::mt19937_64 random_;
     std::map<ForwardRun *, std::unique_ptr<ForwardRun>> runs_;
     std::set<ForwardRun *> ended_; ///< Dropped on the loop's next turn.
--- a/packages/qz_forward/run/forwardrun.cpp
+++ b/packages/qz_forward/run/forwardrun.cpp
@@ -207,8 +207,7 @@
         candidate.heldUntil_ = server->health().heldUntil();
         candidate.heldSince_ = server->health().heldSince();
         candidate.lastSent_ = server->lastSent();
-        candidate.isTrialOwner_ =
-                candidate.state_ == ServerHealth::State::Good || forwarder_.ownsTrial(*server);
+        candidate.isOwner_ = forwarder_.owns(*server);
         candidate.slots_ = server->listed().slots_;
         candidate.inFlight_ = server->inFlight();
         candidate.slowness_ = server->health().slowness(mean);
--- a/packages/qz_placement/choice/placement.cpp
+++ b/packages/qz_placement/choice/placement.cpp
@@ -51,7 +51,7 @@
         || candidate.isTried_) {
         return false;
     }
-    if (!candidate.isTrialOwner_) {
+    if (!candidate.isOwner_) {
         return now >= candidate.heldUntil_ + costs.foreignTrialDelay_;
     }
     return now >= candidate.heldUntil_
@@ -79,10 +79,10 @@
                 const PlacementRequest &request, const PlacementCosts &costs, TimePoint now)
 {
     const Duration cost = expected + distanceCost(candidate, request, costs);
-    if (!request.isSpread_ || candidate.inFlight_ >= candidate.slots_) {
-        return cost;
-    }
-    return now - candidate.lastSent_ > costs.spreadPause_ ? cost - request.target_ : cost;
+    const bool isIdle =
+            candidate.inFlight_ < candidate.slots_ && now - candidate.lastSent_ > costs.idlePause_;
+    const bool isOwn = candidate.isOwner_ && candidate.distance_ == Distance::SameDomain;
+    return isIdle && (isOwn || request.isSpread_) ? cost - request.target_ : cost;
 }
 
 } // namespace
--- a/packages/qz_placement/choice/placement.h
+++ b/packages/qz_placement/choice/placement.h
@@ -29,7 +29,9 @@
     double slowness_ = 1.0;    ///< Its time in relation to the service's mean.
     Duration oldestWait_{ 0 }; ///< Age of the oldest request that it has not answered.
     bool isTried_ = false;     ///< This request was sent to it before.
-    bool isTrialOwner_ = true; ///< This instance is to find out whether it has recovered.
+    /// Of several instances, this one keeps the server in use and finds out whether it has
+    /// recovered.
+    bool isOwner_ = true;
 };
 
 /// What the choice knows of the request.
@@ -56,8 +58,9 @@
     /// many requests fail, if more than maxHeldPart_ of the servers are held.
     Duration neededHold_ = std::chrono::seconds(2);
     double maxHeldPart_ = 0.3;
-    /// While many requests fail, a server that got none for so long goes before the others.
-    Duration spreadPause_ = std::chrono::milliseconds(1200);
+    /// A server that got no request for so long goes before the others, so that enough of a
+    /// service's servers are in use when many requests come to fail.
+    Duration idlePause_ = std::chrono::milliseconds(1300);
     int queuedPerSlot_ = 4; ///< Requests of this instance that may wait at a server, a slot.
 };
 
@@ -75,9 +78,9 @@
 /// only held servers are left, the one whose hold ends first is taken. Empty if no server
 /// could answer in the time left.
 ///
-/// As long as most requests are served, work stays with the servers that answer fast: each
-/// server in use costs requests when it begins to fail. Once many fail, each server gets
-/// work now and then, and holds end sooner.
+/// Most work stays with the servers that answer fast, since each server in use costs requests
+/// when it begins to fail; the others get a request now and then from the instance that owns
+/// them. Once many requests fail, all instances use idle servers, and holds end sooner.
 std::optional<Placement> choosePlacement(const std::vector<PlacementCandidate> &candidates,
                                          const PlacementRequest &request,
                                          const PlacementCosts &costs, TimePoint now);
--- a/packages/qz_placement/tests/placementtest.cpp
+++ b/packages/qz_placement/tests/placementtest.cpp
@@ -165,7 +165,7 @@
     const ServerHealth health = makeHeld(start);
     const auto now = health.heldUntil() + 10ms;
     auto held = makeHeldCandidate(health, now);
-    held.isTrialOwner_ = false;
+    held.isOwner_ = false;
     BOOST_TEST(choose({ held, makeCandidate(Distance::SameDomain, 0) }, makeRequest(), now) == 1);
     const auto later = health.heldUntil() + qz::PlacementCosts().foreignTrialDelay_;
     BOOST_TEST(choose({ held, makeCandidate(Distance::SameDomain, 0) }, makeRequest(), later) == 0);
@@ -185,6 +185,7 @@
 {
     auto idle = makeCandidate(Distance::SameDomain, 0);
     idle.slowness_ = 1.5;
+    idle.isOwner_ = false;
     auto used = makeCandidate(Distance::SameDomain, 0);
     const auto now = start + 3s;
     used.lastSent_ = now;
@@ -192,6 +193,11 @@
     BOOST_TEST(choose({ idle, used }, request, now) == 1);
     request.isSpread_ = true;
     BOOST_TEST(choose({ idle, used }, request, now) == 0);
+    request.isSpread_ = false;
+    idle.isOwner_ = true;
+    BOOST_TEST(choose({ idle, used }, request, now) == 0);
+    idle.isOwner_ = false;
+    request.isSpread_ = true;
     const ServerHealth held = makeHeld(start, false);
     idle.lastSent_ = now;
     BOOST_TEST(choose({ makeHeldCandidate(held, now), idle, used }, request, now) == 0);
