--- /dev/null
+++ b/apps/quetzaldaled/tests/servepathtest.cpp
@@ -0,0 +1,259 @@
+// Tests of instances on the platform as processes of their own, before a store stand-in.
+#include "platform/platformnames.h"
+#include "qz_http/stream/httpcaller.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "platform/tests/storestandin.h"
+#include "testbed/daemonprocess.h"
+
+#include <csignal>
+#include <memory>
+
+using namespace std::chrono_literals;
+using namespace qz::testing;
+using qz::platform::backendTable;
+using qz::platform::configKey;
+using qz::platform::operatorTable;
+
+namespace {
+
+std::string makeConfig(const std::string &version, const std::string &prefix)
+{
+    return R"({"Version":")" + version + R"(","Routes":{"Columns":["Name","Host","Prefix","Kind",
+"TimeoutS","TargetLatencyS","Service"],"Rows":[["r","h",")"
+            + prefix + R"(","unsafe",5,2,"s"]]},
+"Services":{"Columns":["Name"],"Rows":[["s"]]}})";
+}
+
+std::string makeBackend(const qz::Endpoint &endpoint)
+{
+    return R"({"Address":")" + qz::toString(endpoint) + R"(","born":1,"Info":{"Service":"s",
+"Version":"v","Zone":"d","Slots":4},"Status":{"State":"ready","Sequence":1,"ColdRemainingS":0}})";
+}
+
+/// An instance and where it listens.
+struct Instance
+{
+    Instance(const std::string &name, const qz::Endpoint &store, const std::string &output)
+        : caller_{ "127.0.0.1", findFreePort() }
+        , directory_{ "127.0.0.1", findFreePort() }
+        , ready_{ "127.0.0.1", findFreePort() }
+        , metrics_{ "127.0.0.1", findFreePort() }
+        , peer_{ "127.0.0.1", findFreePort() }
+        , process_(QZ_DAEMON_PATH,
+                   { "serve", "--instance-id=" + name, "--region=r", "--failure-domain=d",
+                     "--failure-domains=d=r", "--caller-address=" + toString(caller_),
+                     "--directory-address=" + toString(directory_),
+                     "--ready-address=" + toString(ready_),
+                     "--metrics-address=" + toString(metrics_), "--peer-address=" + toString(peer_),
+                     "--store-address=" + toString(store) },
+                   { "QUETZALDALE_FLEET_KEY=a key of this test" }, output)
+    {
+    }
+
+    qz::Endpoint caller_;
+    qz::Endpoint directory_;
+    qz::Endpoint ready_;
+    qz::Endpoint metrics_;
+    qz::Endpoint peer_;
+    DaemonProcess process_;
+};
+
+/// A store, one backend server that answers after a while, and some instances.
+class Fixture
+{
+public:
+    explicit Fixture(int instances, const std::string &output = "/dev/null")
+        : store_(loop_)
+        , backend_(loop_, [this](bufferevent *stream, int /*reads*/) {
+            answers_.push_back(loop_.callAfter(answerTime_, [stream] {
+                write(stream,
+                      "HTTP/1.1 200 OK\r\nX-Quetzaldale-Attempt-Id: 1\r\n"
+                      "X-Quetzaldale-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok");
+            }));
+        })
+    {
+        store_.put(operatorTable, configKey, makeConfig("00000001", "/a/"));
+        store_.put(backendTable, "b", makeBackend(backend_.endpoint()));
+        for (int i = 0; i < instances; ++i) {
+            instances_.push_back(
+                    std::make_unique<Instance>("i" + std::to_string(i), store_.endpoint(), output));
+        }
+    }
+
+    /// The status of a call, 0 for none, and its body.
+    std::pair<int, std::string> get(const qz::Endpoint &endpoint, const std::string &target)
+    {
+        qz::HttpCaller caller(loop_, endpoint, 500ms, 2s);
+        std::pair<int, std::string> result;
+        bool isDone = false;
+        qz::HttpRequest request;
+        request.target_ = target;
+        request.headers_.add("X-Quetzaldale-Attempt-Id", "1");
+        caller.call(request, 6s, [&](qz::Result<qz::HttpResponse> answer) {
+            isDone = true;
+            if (answer.has_value()) {
+                result = { answer.value().status_, answer.value().body_ };
+            }
+            loop_.stop();
+        });
+        if (!isDone) {
+            loop_.runFor(7s);
+        }
+        return result;
+    }
+
+    /// The status of a request of a caller.
+    int ask(const qz::Endpoint &endpoint, const std::string &target)
+    {
+        RawClient client(loop_, endpoint);
+        client.send("GET " + target
+                    + " HTTP/1.1\r\nHost: h\r\nX-Quetzaldale-Attempt-Id: 1\r\n"
+                      "Connection: close\r\n\r\n");
+        client.awaitEnd(6s);
+        return client.received().size() < 12 ? 0 : std::stoi(client.received().substr(9, 3));
+    }
+
+    bool awaitReady(const Instance &instance, qz::Duration limit = 5s)
+    {
+        const auto end = loop_.now() + limit;
+        while (loop_.now() < end) {
+            if (get(instance.ready_, qz::platform::readyPath).first == 200) {
+                return true;
+            }
+            loop_.runFor(50ms);
+        }
+        return false;
+    }
+
+    /// Runs the loop until the process has ended; the time that it took.
+    qz::Duration awaitEnd(Instance &instance, qz::Duration limit)
+    {
+        const auto begin = loop_.now();
+        while (!instance.process_.hasEnded() && loop_.now() - begin < limit) {
+            loop_.runFor(20ms);
+        }
+        return loop_.now() - begin;
+    }
+
+    qz::EventLoop loop_;
+    StoreStandIn store_;
+    qz::Duration answerTime_ = 1ms;
+    std::vector<qz::Timers::HandlePtr> answers_;
+    RawServer backend_;
+    std::vector<std::unique_ptr<Instance>> instances_;
+};
+
+std::size_t countOf(const std::string &text, const std::string &part)
+{
+    std::size_t count = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(instancesServeAndFollowTheConfiguration)
+{
+    Fixture fixture(3);
+    for (const auto &instance : fixture.instances_) {
+        BOOST_REQUIRE(fixture.awaitReady(*instance));
+    }
+    fixture.loop_.runFor(1s); // Until they have heard each other.
+    for (const auto &instance : fixture.instances_) {
+        const auto [status, body] =
+                fixture.get(instance->directory_, "/v1/resolve?Name=h&Region=r&Zone=d");
+        BOOST_TEST(status == 200);
+        BOOST_TEST(countOf(body, "127.0.0.1:") == 2);
+        BOOST_TEST(fixture.ask(instance->caller_, "/a/x") == 200);
+        BOOST_TEST(fixture.ask(instance->caller_, "/b/x") == 404);
+    }
+    fixture.store_.put(operatorTable, configKey, makeConfig("00000002", "/b/"));
+    fixture.loop_.runFor(2s);
+    for (const auto &instance : fixture.instances_) {
+        BOOST_TEST(fixture.ask(instance->caller_, "/b/x") == 200);
+        BOOST_TEST(fixture.ask(instance->caller_, "/a/x") == 404);
+        const auto metrics = fixture.get(instance->metrics_, "/metrics").second;
+        BOOST_TEST(countOf(metrics, "qz_config_version 2") == 1);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aPlannedStopCutsNothingAndEndsSoon)
+{
+    Fixture fixture(2);
+    Instance &stopped = *fixture.instances_[0];
+    BOOST_REQUIRE(fixture.awaitReady(stopped));
+    BOOST_REQUIRE(fixture.awaitReady(*fixture.instances_[1]));
+    fixture.answerTime_ = 1500ms;
+    RawClient client(fixture.loop_, stopped.caller_);
+    client.send("GET /a/x HTTP/1.1\r\nHost: h\r\nX-Quetzaldale-Attempt-Id: 1\r\n\r\n");
+    fixture.loop_.runFor(200ms);
+    stopped.process_.send(SIGTERM);
+    fixture.loop_.runFor(200ms);
+    BOOST_TEST(fixture.get(stopped.ready_, qz::platform::readyPath).first == 503);
+    const auto names =
+            fixture.get(fixture.instances_[1]->directory_, "/v1/resolve?Name=h&Region=r&Zone=d")
+                    .second;
+    BOOST_TEST(countOf(names, qz::toString(stopped.caller_)) == 0);
+    // Callers that still have its address are served.
+    fixture.answerTime_ = 1ms;
+    BOOST_TEST(fixture.ask(stopped.caller_, "/a/y") == 200);
+    const qz::Duration took = fixture.awaitEnd(stopped, 6s);
+    BOOST_TEST(client.received().substr(0, 12) == "HTTP/1.1 200");
+    BOOST_TEST(stopped.process_.exitStatus() == 0);
+    BOOST_CHECK(took < 4s);
+}
+
+BOOST_AUTO_TEST_CASE(anInstanceThatStartsWhileTheStoreIsAwayIsServedByItsNeighbours)
+{
+    Fixture fixture(1);
+    BOOST_REQUIRE(fixture.awaitReady(*fixture.instances_[0]));
+    // The row of the late one is there from its life before.
+    fixture.instances_.push_back(
+            std::make_unique<Instance>("late", fixture.store_.endpoint(), "/dev/null"));
+    Instance &late = *fixture.instances_[1];
+    BOOST_REQUIRE(fixture.awaitReady(late));
+    fixture.loop_.runFor(1s);
+    const qz::Endpoint caller = late.caller_;
+    late.process_.send(SIGKILL);
+    fixture.awaitEnd(late, 2s);
+    fixture.store_.setFault(StoreStandIn::Fault::Refuses);
+    auto again = std::make_unique<DaemonProcess>(
+            QZ_DAEMON_PATH,
+            std::vector<std::string>{ "serve", "--instance-id=late", "--region=r",
+                                      "--failure-domain=d", "--failure-domains=d=r",
+                                      "--caller-address=" + toString(caller),
+                                      "--directory-address=" + toString(late.directory_),
+                                      "--ready-address=" + toString(late.ready_),
+                                      "--metrics-address=" + toString(late.metrics_),
+                                      "--peer-address=" + toString(late.peer_),
+                                      "--store-address=" + toString(fixture.store_.endpoint()) },
+            std::vector<std::string>{ "QUETZALDALE_FLEET_KEY=a key of this test" }, "/dev/null");
+    BOOST_TEST(fixture.awaitReady(late, 6s));
+    BOOST_TEST(fixture.ask(caller, "/a/x") == 200);
+}
+
+BOOST_AUTO_TEST_CASE(anOutputThatTakesNothingDelaysNoRequest)
+{
+    Fixture fixture(1, "/dev/full");
+    BOOST_REQUIRE(fixture.awaitReady(*fixture.instances_[0]));
+    const auto begin = fixture.loop_.now();
+    for (int i = 0; i < 100; ++i) {
+        BOOST_TEST(fixture.ask(fixture.instances_[0]->caller_, "/a/x") == 200);
+    }
+    BOOST_CHECK(fixture.loop_.now() - begin < 5s);
+}
+
+BOOST_AUTO_TEST_CASE(badSettingsAreReportedTogetherAndNothingStarts)
+{
+    DaemonProcess process(QZ_DAEMON_PATH, { "serve", "--retry-budget-ratio=much" }, {},
+                          "/dev/null");
+    qz::EventLoop loop;
+    for (int i = 0; i < 100 && !process.hasEnded(); ++i) {
+        loop.runFor(20ms);
+    }
+    BOOST_TEST(process.exitStatus() == 2);
+}
