--- a/apps/quetzaldaled/main.cpp
+++ b/apps/quetzaldaled/main.cpp
@@ -71,6 +71,8 @@
   --metrics-address=IP:PORT   serves Prometheus metrics at /metrics
   --peer-address=IP:PORT      listens for other instances
   --store-address=IP:PORT     the platform's store
+  --processor-share=X         part of a core that it may use; larger ones take
+                              callers first; 1
   --entries-per-domain=N      instances that a failure domain's callers use; 2
   --retry-budget-ratio=X      second tries for each request, all instances; 0.2
   --retry-budget-slack=X      second tries on top in each window; 10
--- a/apps/quetzaldaled/serve/servedaemon.cpp
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -95,7 +95,7 @@
 InstanceRecord ServeDaemon::makeSelf() const
 {
     return { settings_.instanceId_, settings_.callerAddress_, settings_.peerAddress_,
-             settings_.location_ };
+             settings_.location_, settings_.processorShare_ };
 }
 
 std::unique_ptr<PeerLinks> ServeDaemon::makeLinks()
@@ -216,7 +216,7 @@
         entryIds_.push_back(entry.id_.value());
     }
     if (platform_.hasTriedInstances()) {
-        platform_.setReader(directory_.isReader(loop_.now()));
+        platform_.setReader(directory_.readerRank(loop_.now()));
     }
 }
 
--- a/apps/quetzaldaled/serve/servesettings.cpp
+++ b/apps/quetzaldaled/serve/servesettings.cpp
@@ -69,6 +69,7 @@
     if (!settings.fleetKey_.empty() && settings.fleetKey_.size() < leastKeyLength) {
         reader.addProblem("fleet-key", "must have at least 16 characters");
     }
+    settings.processorShare_ = readNumber(reader, "processor-share", "1");
     settings.entriesPerDomain_ =
             static_cast<std::size_t>(reader.integer("entries-per-domain", 1, mostEntries, 2));
     settings.retryBudget_.ratio_ = readNumber(reader, "retry-budget-ratio", "0.2");
@@ -97,6 +98,7 @@
              { "metrics-address", toString(metricsAddress_) },
              { "peer-address", toString(peerAddress_) },
              { "store-address", toString(storeAddress_) },
+             { "processor-share", processorShare_ },
              { "entries-per-domain", entriesPerDomain_ },
              { "retry-budget-ratio", retryBudget_.ratio_ },
              { "retry-budget-slack", retryBudget_.slack_ },
--- a/apps/quetzaldaled/serve/servesettings.h
+++ b/apps/quetzaldaled/serve/servesettings.h
@@ -27,7 +27,8 @@
     Endpoint metricsAddress_;
     Endpoint peerAddress_;
     Endpoint storeAddress_;
-    std::string fleetKey_; ///< Never logged.
+    std::string fleetKey_;        ///< Never logged.
+    double processorShare_ = 1.0; ///< Of a core that this instance may use.
     std::size_t entriesPerDomain_ = 2;
     RetryBudgetLimits retryBudget_;
     Duration addressKeepTime_{}; ///< How long callers keep an answer of the directory.
--- a/packages/qz_presence/directory/instancedirectory.cpp
+++ b/packages/qz_presence/directory/instancedirectory.cpp
@@ -17,6 +17,7 @@
 bool isSame(const InstanceRecord &a, const InstanceRecord &b)
 {
     return a.callerEndpoint_ == b.callerEndpoint_ && a.peerEndpoint_ == b.peerEndpoint_
+            && a.processorShare_ == b.processorShare_
             && a.location_.failureDomain_ == b.location_.failureDomain_;
 }
 
@@ -65,14 +66,20 @@
 {
     std::vector<InstanceRecord> first;
     for (const std::string &id : rendezvousOrder(key, std::move(ids))) {
-        if (first.size() == count) {
-            break;
-        }
-        first.push_back(id == self_.id_.value() ? self_ : others_.at(id).record_);
+        first.push_back(recordOf(id));
     }
+    std::stable_sort(first.begin(), first.end(), [](const auto &a, const auto &b) {
+        return a.processorShare_ > b.processorShare_;
+    });
+    first.resize(std::min(count, first.size()));
     return first;
 }
 
+const InstanceRecord &InstanceDirectory::recordOf(const std::string &id) const
+{
+    return id == self_.id_.value() ? self_ : others_.at(id).record_;
+}
+
 bool InstanceDirectory::isLiveNeighbour(const Known &known, TimePoint now) const
 {
     return known.record_.location_.failureDomain_ == self_.location_.failureDomain_
@@ -94,7 +101,7 @@
                    limits_.entriesPerDomain_);
 }
 
-bool InstanceDirectory::isReader(TimePoint now) const
+std::optional<std::size_t> InstanceDirectory::readerRank(TimePoint now) const
 {
     std::vector<std::string> live{ self_.id_.value() };
     for (const auto &[id, known] : others_) {
@@ -107,14 +114,14 @@
     const std::string key = self_.location_.failureDomain_.value() + readersSuffix;
     for (const std::string &id : rendezvousOrder(key, std::move(live))) {
         if (++candidates > limits_.readerCandidates_ || readers == limits_.readersPerDomain_) {
-            return false;
+            break;
         }
         if (id == self_.id_.value()) {
-            return true;
+            return readers;
         }
         readers += others_.at(id).state_.isStoreLost_ ? 0 : 1;
     }
-    return false;
+    return std::nullopt;
 }
 
 bool InstanceDirectory::isEntry(TimePoint now) const
--- a/packages/qz_presence/directory/instancedirectory.h
+++ b/packages/qz_presence/directory/instancedirectory.h
@@ -6,6 +6,7 @@
 #include "qz_fleet/messages/coreadaptors.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,8 +19,9 @@
     Endpoint callerEndpoint_; ///< Where callers connect.
     Endpoint peerEndpoint_;   ///< Where other instances connect.
     Location location_;
+    double processorShare_ = 1.0; ///< Of a core that the instance may use.
 
-    MSGPACK_DEFINE(id_, callerEndpoint_, peerEndpoint_, location_)
+    MSGPACK_DEFINE(id_, callerEndpoint_, peerEndpoint_, location_, processorShare_)
 };
 
 /// What an instance tells of itself that may change.
@@ -32,9 +34,10 @@
 /// Knows the instances from their records, and which ones of its own failure domain are live
 /// from what was heard of them.
 ///
-/// Callers of a failure domain are sent to a few of its instances only, chosen by rendezvous
-/// hash among those that are live: so each sees enough requests to judge a backend server
-/// and to keep connections warm, and any other can take over. Instances that disagree on
+/// Callers of a failure domain are sent to a few of its instances only, chosen among those
+/// that are live by their part of a processor, and by rendezvous hash where it is the same: so
+/// each sees enough requests to judge a backend server and to keep connections warm, and any
+/// other can take over. Instances that disagree on
 /// who is live send callers to different ones for a moment, which costs nothing else.
 class InstanceDirectory
 {
@@ -71,8 +74,9 @@
     /// Whether this instance is one of entries().
     bool isEntry(TimePoint now) const;
 
-    /// Whether this instance is one of those that read from the store.
-    bool isReader(TimePoint now) const;
+    /// If this instance is one of those that read from the store: how many that can do so
+    /// come before it.
+    std::optional<std::size_t> readerRank(TimePoint now) const;
 
     /// The other instances of this failure domain.
     std::vector<InstanceRecord> neighbours() const;
@@ -101,6 +105,7 @@
     bool isLiveNeighbour(const Known &known, TimePoint now) const;
     std::vector<InstanceRecord> firstOf(const std::string &key, std::vector<std::string> ids,
                                         std::size_t count) const;
+    const InstanceRecord &recordOf(const std::string &id) const;
     std::vector<InstanceRecord> firstOfOtherDomains(const std::string &keySuffix,
                                                     std::size_t count) const;
 
--- a/packages/qz_presence/tests/instancedirectorytest.cpp
+++ b/packages/qz_presence/tests/instancedirectorytest.cpp
@@ -21,7 +21,8 @@
     return { qz::InstanceId(name),
              { "127.0.0.1", static_cast<std::uint16_t>(1000 + number) },
              { "127.0.0.1", static_cast<std::uint16_t>(2000 + number) },
-             { qz::RegionId("r"), qz::FailureDomainId(domain) } };
+             { qz::RegionId("r"), qz::FailureDomainId(domain) },
+             1.0 };
 }
 
 /// The views of several instances of one failure domain.
@@ -59,7 +60,7 @@
     {
         std::vector<int> found;
         for (std::size_t i = 0; i < views_.size(); ++i) {
-            if (views_[i]->isReader(now)) {
+            if (views_[i]->readerRank(now)) {
                 found.push_back(int(i));
             }
         }
@@ -122,13 +123,17 @@
     const auto alone = fleet.views_[2]->entries(start + 10s);
     BOOST_REQUIRE(alone.size() == 1);
     BOOST_TEST(alone[0].id_.value() == "d-2");
-    BOOST_TEST(fleet.views_[2]->isReader(start + 10s));
+    BOOST_TEST(fleet.views_[2]->readerRank(start + 10s).value() == 0);
 }
 
 BOOST_AUTO_TEST_CASE(twoInstancesReadFromTheStore)
 {
     const Fleet fleet(12);
-    BOOST_TEST(fleet.readers(start).size() == 2);
+    const auto readers = fleet.readers(start);
+    BOOST_REQUIRE(readers.size() == 2);
+    BOOST_TEST(fleet.views_[readers[0]]->readerRank(start).value()
+                       + fleet.views_[readers[1]]->readerRank(start).value()
+               == 1);
 }
 
 BOOST_AUTO_TEST_CASE(aReaderThatLosesTheStoreIsJoinedByTheNextAndTheNumberIsBounded)
@@ -162,6 +167,23 @@
     BOOST_TEST(!directory.isNeighbour(qz::InstanceId("e-1")));
 }
 
+BOOST_AUTO_TEST_CASE(instancesWithALargerPartOfAProcessorTakeCallersFirst)
+{
+    qz::InstanceDirectory directory(makeRecord(0), {});
+    for (int i = 1; i < 12; ++i) {
+        auto record = makeRecord(i);
+        record.processorShare_ = i == 7 || i == 9 ? 2.0 : 0.5;
+        directory.put(record, start);
+        directory.hear(record.id_, { true, false }, start);
+    }
+    auto names = idsOf(directory.entries(start));
+    std::sort(names.begin(), names.end());
+    const std::vector<std::string> larger{ "d-7", "d-9" };
+    BOOST_TEST(names == larger, boost::test_tools::per_element());
+    directory.lose(qz::InstanceId("d-7"));
+    BOOST_TEST(directory.entries(start).size() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(aNewRecordCountsAsLiveButTakesNoCallersYet)
 {
     qz::InstanceDirectory directory(makeRecord(0), {});
