--- a/packages/qz_http/tests/httpstreamparsertest.cpp
+++ b/packages/qz_http/tests/httpstreamparsertest.cpp
@@ -163,8 +163,8 @@
 BOOST_AUTO_TEST_CASE(aHeadOverTheLimitIsRefused)
 {
     Messages messages(qz::HttpRole::Request);
-    const std::string long_(headLimit, 'a');
-    BOOST_TEST(!messages.feed("GET / HTTP/1.1\r\nHost: h\r\nX: " + long_, 100));
+    const std::string filler(headLimit, 'a');
+    BOOST_TEST(!messages.feed("GET / HTTP/1.1\r\nHost: h\r\nX: " + filler, 100));
     BOOST_REQUIRE(messages.error_.has_value());
     BOOST_CHECK(messages.error_->kind_ == qz::ErrorKind::RequestTooLarge);
 }
--- a/packages/qz_presence/tests/instancedirectorytest.cpp
+++ b/packages/qz_presence/tests/instancedirectorytest.cpp
@@ -74,6 +74,7 @@
 std::vector<std::string> idsOf(const std::vector<qz::InstanceRecord> &records)
 {
     std::vector<std::string> ids;
+    ids.reserve(records.size());
     for (const auto &record : records) {
         ids.push_back(record.id_.value());
     }
--- a/packages/qz_replica/tests/replicatest.cpp
+++ b/packages/qz_replica/tests/replicatest.cpp
@@ -70,6 +70,7 @@
 void introduce(const std::vector<Node *> &nodes)
 {
     std::vector<qz::InstanceRecord> records;
+    records.reserve(nodes.size());
     for (const Node *node : nodes) {
         records.push_back(node->record_);
     }
