--- a/apps/quetzaldaled/serve/servedaemon.cpp
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -1,6 +1,7 @@
 // The parts of an instance, joined.
 #include "quetzaldaled/serve/servedaemon.h"
 
+#include "platform/decoding/directoryanswer.h"
 #include "platform/platformnames.h"
 #include "qz_core/hashing/rendezvous.h"
 #include "qz_core/ids/randomid.h"
@@ -275,19 +276,16 @@
 
 void ServeDaemon::answerDirectory(const std::shared_ptr<CallerExchange> &exchange)
 {
-    nlohmann::json addresses = nlohmann::json::array();
+    std::vector<Endpoint> addresses;
     for (const InstanceRecord &entry : directory_.entries(loop_.now())) {
-        addresses.push_back(toString(entry.callerEndpoint_));
+        addresses.push_back(entry.callerEndpoint_);
     }
     if (addresses.empty()) {
         exchange->reply(makeHead(statusUnavailable, "text/plain"), "no instance is ready\n");
         return;
     }
-    const nlohmann::json answer{
-        { "Addresses", std::move(addresses) },
-        { "TtlS", std::chrono::duration<double>(settings_.addressKeepTime_).count() }
-    };
-    exchange->reply(makeHead(statusOk, "application/json"), answer.dump());
+    exchange->reply(makeHead(statusOk, "application/json"),
+                    platform::encodeDirectoryAnswer(addresses, settings_.addressKeepTime_));
 }
 
 nlohmann::json ServeDaemon::dumpState() const
