Try each held server while many requests fail, also where few are held

Cause: the floor counts the servers without disruption, which can be ten of a hundred; of those four were held while under a third of all were. An instance saw the rise of failures late and from 12 in a hundred on, above the tenth at which the floor binds.

--- a/packages/qz_forward/run/forwardrun.cpp
+++ b/packages/qz_forward/run/forwardrun.cpp
@@ -21,9 +21,6 @@
 constexpr int connectFailureLimit = 4; ///< Servers that could not be reached, for one request.
 /// Bytes of a body that wait for a slow receiver before reading pauses.
 constexpr std::size_t backlogBytes = std::size_t(256) * 1024;
-/// Part of a service's requests that fail from which on the others are spread over all its
-/// servers; below the tenth at which too few servers in use would matter.
-constexpr double spreadLevel = 0.12;
 /// A second try while the first is silent leaves this part of the budget for failures.
 constexpr double earlyTryBudgetPart = 0.5;
 /// A second try starts after a high quantile of the answer times, within these parts of the
@@ -233,8 +230,8 @@
         // What is only assumed must not be a reason to refuse.
         request.expected_ = std::min(request.expected_, request.timeLeft_ / 2);
     }
-    request.isSpread_ =
-            forwarder_.servedShare(service_).unserved(forwarder_.loop().now()) > spreadLevel;
+    request.isSpread_ = forwarder_.servedShare(service_).unserved(forwarder_.loop().now())
+            > PlacementRequest::spreadLevel_;
     return request;
 }
 
--- a/packages/qz_placement/choice/placement.cpp
+++ b/packages/qz_placement/choice/placement.cpp
@@ -44,29 +44,21 @@
     return candidate.inFlight_ >= candidate.slots_ * (1 + costs.queuedPerSlot_);
 }
 
-bool isDueForTrial(const PlacementCandidate &candidate, const PlacementCosts &costs, bool isNeeded,
-                   TimePoint now)
+bool isDueForTrial(const PlacementCandidate &candidate, const PlacementRequest &request,
+                   const PlacementCosts &costs, bool isNeeded, TimePoint now)
 {
     if (candidate.state_ == ServerHealth::State::Good || candidate.inFlight_ > 0
         || candidate.isTried_) {
         return false;
     }
     if (!candidate.isOwner_) {
-        return now >= candidate.heldUntil_ + costs.foreignTrialDelay_;
+        return now >= candidate.heldUntil_ + costs.foreignTrialDelay_
+                || (request.isSpread_ && now >= candidate.heldSince_ + costs.neededForeignHold_);
     }
     return now >= candidate.heldUntil_
             || (isNeeded && now >= candidate.heldSince_ + costs.neededHold_);
 }
 
-/// Whether so many servers are held that the rest is too small a part of the service.
-bool isFloorReached(const std::vector<PlacementCandidate> &candidates, const PlacementCosts &costs)
-{
-    const auto held = std::count_if(candidates.begin(), candidates.end(), [](const auto &c) {
-        return c.state_ != ServerHealth::State::Good;
-    });
-    return static_cast<double>(held) > costs.maxHeldPart_ * static_cast<double>(candidates.size());
-}
-
 bool hasFreeSlot(const std::vector<PlacementCandidate> &candidates)
 {
     return std::any_of(candidates.begin(), candidates.end(), [](const auto &c) {
@@ -116,15 +108,14 @@
     Duration bestCost{};
     std::optional<Placement> leastHeld;
     Duration leastHold{};
-    const bool isNeeded =
-            !hasFreeSlot(candidates) || (request.isSpread_ && isFloorReached(candidates, costs));
+    const bool isNeeded = request.isSpread_ || !hasFreeSlot(candidates);
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const PlacementCandidate &candidate = candidates[i];
         if (candidate.isTried_ || isFull(candidate, costs)) {
             continue;
         }
         const Duration expected = expectedAnswer(candidate, request, costs);
-        if (isDueForTrial(candidate, costs, isNeeded, now)) {
+        if (isDueForTrial(candidate, request, costs, isNeeded, now)) {
             return Placement{ i, true, expected };
         }
         if (expected > request.timeLeft_) {
--- a/packages/qz_placement/choice/placement.h
+++ b/packages/qz_placement/choice/placement.h
@@ -43,6 +43,11 @@
     Duration expected_{}; ///< Mean time of an answer of the service.
     /// Many of the service's requests fail: spread the others over all its servers.
     bool isSpread_ = false;
+
+    /// The part of a service's requests at one instance that fails from which on isSpread_
+    /// holds. Below the tenth, over all instances, at which the floor of servers in use binds:
+    /// what one instance sees differs from the whole by a few in a hundred.
+    static constexpr double spreadLevel_ = 0.08;
 };
 
 /// What distance costs, as a part of the request's target time. Bytes between failure
@@ -54,10 +59,12 @@
     Duration betweenRegions_ = std::chrono::milliseconds(24); ///< Round trip.
     /// A held server that this instance is not to try is tried by it at last after this time.
     Duration foreignTrialDelay_ = std::chrono::seconds(8);
-    /// A hold gives way after this time if no server in good health has a free slot, and, while
-    /// many requests fail, if more than maxHeldPart_ of the servers are held.
+    /// A hold gives way at the server's owner after this time if no server in good health has a
+    /// free slot, or while many requests fail: the floor counts a server as sound again then.
     Duration neededHold_ = std::chrono::seconds(2);
-    double maxHeldPart_ = 0.3;
+    /// The same at other instances, in case that the owner does not try the server. Longer than
+    /// a trial by the owner and its note to the others take.
+    Duration neededForeignHold_ = std::chrono::milliseconds(2700);
     /// A server that got no request for so long goes before the others, so that enough of a
     /// service's servers are in use when many requests come to fail.
     Duration idlePause_ = std::chrono::milliseconds(1300);
@@ -80,7 +87,8 @@
 ///
 /// Most work stays with the servers that answer fast, since each server in use costs requests
 /// when it begins to fail; the others get a request now and then from the instance that owns
-/// them. Once many requests fail, all instances use idle servers, and holds end sooner.
+/// them. Once many requests fail, all instances use idle servers, and holds end sooner: servers
+/// that failed for a moment must not be left out then.
 std::optional<Placement> choosePlacement(const std::vector<PlacementCandidate> &candidates,
                                          const PlacementRequest &request,
                                          const PlacementCosts &costs, TimePoint now);
--- a/packages/qz_placement/health/servedshare.cpp
+++ b/packages/qz_placement/health/servedshare.cpp
@@ -1,33 +1,46 @@
-// A sliding window of requests' ends.
+// Two sliding windows of requests' ends.
 #include "qz_placement/health/servedshare.h"
 
+#include <algorithm>
+
 namespace qz {
 
 namespace {
 
-constexpr Duration window = std::chrono::seconds(3);
+/// Ends in a window from which on their share says something.
 constexpr std::size_t enoughEnds = 12;
 
 } // namespace
 
 void ServedShare::record(bool isServed, TimePoint now)
 {
-    forget(now);
-    ends_.push_back({ now, isServed });
-    unservedCount_ += isServed ? 0 : 1;
+    for (Window &window : windows_) {
+        window.forget(now);
+        window.ends_.push_back({ now, isServed });
+        window.unservedCount_ += isServed ? 0 : 1;
+    }
 }
 
 double ServedShare::unserved(TimePoint now)
 {
-    forget(now);
+    double worst = 0.0;
+    for (Window &window : windows_) {
+        window.forget(now);
+        worst = std::max(worst, window.unserved());
+    }
+    return worst;
+}
+
+double ServedShare::Window::unserved() const
+{
     return ends_.size() < enoughEnds
             ? 0.0
             : static_cast<double>(unservedCount_) / static_cast<double>(ends_.size());
 }
 
-void ServedShare::forget(TimePoint now)
+void ServedShare::Window::forget(TimePoint now)
 {
-    while (!ends_.empty() && now - ends_.front().at_ > window) {
+    while (!ends_.empty() && now - ends_.front().at_ > length_) {
         unservedCount_ -= ends_.front().isServed_ ? 0 : 1;
         ends_.pop_front();
     }
--- a/packages/qz_placement/health/serverhealth.cpp
+++ b/packages/qz_placement/health/serverhealth.cpp
@@ -131,9 +131,7 @@
 
 void ServerHealth::adoptHold(Duration hold, TimePoint now)
 {
-    if (now >= heldUntil_) {
-        heldSince_ = now;
-    }
+    heldSince_ = now;
     heldUntil_ = std::max(heldUntil_, now + std::min(hold, limits_.longestHold_));
     trialsLeft_ = std::max(trialsLeft_, 1);
 }
--- a/packages/qz_placement/tests/placementtest.cpp
+++ b/packages/qz_placement/tests/placementtest.cpp
@@ -203,6 +203,49 @@
     BOOST_TEST(choose({ makeHeldCandidate(held, now), idle, used }, request, now) == 0);
 }
 
+BOOST_AUTO_TEST_CASE(whileManyFailEachHeldServerIsTriedAlsoWhereFewAreHeld)
+{
+    // Only a part of a service's servers may be free of disruption; of those, more can be held
+    // than of all of them.
+    const ServerHealth health = makeHeld(start, false);
+    const auto now = start + qz::PlacementCosts().neededHold_;
+    auto good = makeCandidate(Distance::SameDomain, 0);
+    good.lastSent_ = now;
+    std::vector<qz::PlacementCandidate> candidates(9, good);
+    candidates.push_back(makeHeldCandidate(health, now));
+    auto request = makeRequest();
+    BOOST_TEST(choose(candidates, request, now) != 9);
+    request.isSpread_ = true;
+    BOOST_TEST(choose(candidates, request, now) == 9);
+    BOOST_TEST(choose(candidates, request, now - 1ms) != 9);
+}
+
+BOOST_AUTO_TEST_CASE(whileManyFailOtherInstancesTryAHeldServerThatItsOwnerDoesNot)
+{
+    const ServerHealth health = makeHeld(start, false);
+    auto good = makeCandidate(Distance::SameDomain, 0);
+    auto request = makeRequest();
+    request.isSpread_ = true;
+    const auto chooseAt = [&](qz::TimePoint now) {
+        auto held = makeHeldCandidate(health, now);
+        held.isOwner_ = false;
+        held.distance_ = Distance::OtherRegion;
+        good.lastSent_ = now;
+        return choose({ good, held }, request, now);
+    };
+    BOOST_TEST(chooseAt(start + qz::PlacementCosts().neededHold_) == 0);
+    BOOST_TEST(chooseAt(start + qz::PlacementCosts().neededForeignHold_) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(aNoteOfAFailureWithinAHoldStartsItAnew)
+{
+    ServerHealth health = makeHeld(start, false);
+    const auto now = start + 2s;
+    health.adoptHold(6s, now);
+    BOOST_CHECK(health.heldSince() == now);
+    BOOST_CHECK(health.heldUntil() == now + 6s);
+}
+
 BOOST_AUTO_TEST_CASE(failuresOfTheWaySayNothingToOthers)
 {
     BOOST_TEST(qz::isOfServer(TryResult::Cut));
@@ -272,6 +315,20 @@
     BOOST_TEST(share.unserved(start + 4s) == 0.0);
 }
 
+BOOST_AUTO_TEST_CASE(aSuddenRiseOfFailuresShowsWithinASecond)
+{
+    qz::ServedShare share;
+    auto now = start;
+    for (int i = 0; i < 90; ++i, now += 33ms) {
+        share.record(true, now);
+    }
+    BOOST_TEST(share.unserved(now) == 0.0);
+    for (int i = 0; i < 24; ++i, now += 33ms) {
+        share.record(i % 5 != 0, now);
+    }
+    BOOST_TEST(share.unserved(now) > qz::PlacementRequest::spreadLevel_);
+}
+
 BOOST_AUTO_TEST_CASE(latencyEstimatesFollowTheAnswers)
 {
     qz::ServiceLatency latency;
--- a/packages/qz_placement/tests/servermodel.h
+++ b/packages/qz_placement/tests/servermodel.h
@@ -149,7 +149,7 @@
         made.target_ = load_.target_;
         made.timeLeft_ = request.arrivedAt_ + load_.timeout_ - now_;
         made.expected_ = latency_.mean(load_.target_);
-        made.isSpread_ = share_.unserved(now_) > 0.12;
+        made.isSpread_ = share_.unserved(now_) > PlacementRequest::spreadLevel_;
         return made;
     }
 
