Send non-repeatable requests over connections that were just proven only

Connections that servers forgot reset them at once. A connection that was idle for more than 150 ms now carries repeatable work only.

--- a/packages/qz_forward/backends/backend.cpp
+++ b/packages/qz_forward/backends/backend.cpp
@@ -13,6 +13,9 @@
 constexpr Duration defaultIdleTime = std::chrono::seconds(4);
 /// A connection is not used so shortly before the server would close it.
 constexpr Duration idleMargin = std::chrono::seconds(2);
+/// An idle connection of this age may carry a request that is not repeatable. Servers that
+/// forget idle connections do so after some tenths of a second at the earliest.
+constexpr Duration provenTime = std::chrono::milliseconds(150);
 
 } // namespace
 
@@ -55,9 +58,12 @@
     return connection.isReusable() && now - connection.idleSince() < kept;
 }
 
-std::unique_ptr<BackendConnection> Backend::takeIdle(TimePoint now)
+std::unique_ptr<BackendConnection> Backend::takeIdle(bool isRepeatable, TimePoint now)
 {
     while (!idle_.empty()) {
+        if (!isRepeatable && now - idle_.back()->idleSince() > provenTime) {
+            break; // The others have been idle for longer.
+        }
         auto connection = std::move(idle_.back());
         idle_.pop_back();
         if (isUsable(*connection, now)) {
--- a/packages/qz_forward/backends/backend.h
+++ b/packages/qz_forward/backends/backend.h
@@ -56,10 +56,15 @@
     int inFlight() const { return static_cast<int>(begun_.size()); }
     Duration oldestWait(TimePoint now) const;
 
-    /// An idle connection that may still be used, or null.
-    std::unique_ptr<BackendConnection> takeIdle(TimePoint now);
+    /// An idle connection that may still be used, or null. For a request that is not
+    /// repeatable only one whose way was proven a moment ago: a new one takes a round trip and
+    /// shows without a request whether the server can be reached.
+    std::unique_ptr<BackendConnection> takeIdle(bool isRepeatable, TimePoint now);
     void putIdle(std::unique_ptr<BackendConnection> connection);
+    /// Closes idle connections that are too old.
     void dropIdle(TimePoint now);
+    /// Closes all idle connections: the way to the server has gone silent.
+    void dropAllIdle() { idle_.clear(); }
     std::size_t idleCount() const { return idle_.size(); }
 
 private:
--- a/packages/qz_forward/run/forwardtry.cpp
+++ b/packages/qz_forward/run/forwardtry.cpp
@@ -40,7 +40,7 @@
 void ForwardTry::start()
 {
     Forwarder &forwarder = run_.forwarder();
-    connection_ = server_->takeIdle(startedAt_);
+    connection_ = server_->takeIdle(run_.isRepeatable(), startedAt_);
     if (connection_ != nullptr) {
         connection_->setListener(this);
         send();
@@ -135,6 +135,9 @@
         server_->putIdle(std::move(connection_));
     }
     connection_.reset();
+    if (result == TryResult::Silent || result == TryResult::ConnectFailed) {
+        server_->dropAllIdle();
+    }
     run_.forwarder().recordTry(*server_, result, elapsed(), run_.isRepeatable());
 }
 
--- a/packages/qz_forward/tests/forwardertest.cpp
+++ b/packages/qz_forward/tests/forwardertest.cpp
@@ -322,6 +322,19 @@
     BOOST_TEST(server.connectionCount() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(anOldIdleConnectionCarriesRepeatableWorkOnly)
+{
+    // A server that forgot an idle connection, or a way that went silent, loses what is sent next.
+    for (const bool isRepeatable : { true, false }) {
+        Fixture fixture;
+        fixture.setRoute(isRepeatable);
+        RawServer &server = fixture.addServer("a", answering(goodAnswer));
+        BOOST_TEST(statusOf(fixture.ask(300ms)) == 200);
+        BOOST_TEST(statusOf(fixture.ask(300ms)) == 200);
+        BOOST_TEST(server.connectionCount() == (isRepeatable ? 1 : 2));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aSuccessWithoutSealIsNoAnswer)
 {
     Fixture fixture;
