Name one owner and one deputy a server; try held ones only as far as the floor needs

Now the owner and one deputy of another domain keep a server in use, holds give way while more than 15 in 100 are left out, the longest held first, and failed trials do not count as failures of the service.

--- a/apps/quetzaldaled/serve/servedaemon.cpp
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -3,7 +3,6 @@
 
 #include "platform/decoding/directoryanswer.h"
 #include "platform/platformnames.h"
-#include "qz_core/hashing/rendezvous.h"
 #include "qz_core/ids/randomid.h"
 #include "qz_core/logging/logger.h"
 
@@ -61,11 +60,14 @@
     , ready_(loop_, {}, [this](const auto &exchange) { answerControl(exchange); })
     , directoryServer_(loop_, {}, [this](const auto &exchange) { answerControl(exchange); })
     , metricsServer_(loop_, {}, [this](const auto &exchange) { answerControl(exchange); })
+    , duties_(settings_.instanceId_)
 {
     forwarder_.setHealthListener([this](const Backend &server, Duration hold) {
         presence_.sendNote({ server.listed().id_, server.listed().incarnation_, hold });
     });
-    forwarder_.setOwner([this](const Backend &server) { return owns(server); });
+    forwarder_.setDutyFinder([this](const Backend &server) {
+        return duties_.find(server.listed().id_, server.listed().location_);
+    });
     presence_.setNoteHandler([this](const HealthNoteMessage &note) { applyNote(note); });
     presence_.setVersions([this] { return replicas_.versions(); });
     presence_.setVersionsHandler([this](const InstanceId &from, const TableVersions &versions) {
@@ -187,19 +189,6 @@
     }
 }
 
-bool ServeDaemon::owns(const Backend &server) const
-{
-    if (server.listed().location_.failureDomain_ != settings_.location_.failureDomain_) {
-        return false;
-    }
-    const std::string &key = server.listed().id_.value();
-    const auto isBefore = [&key](const std::string &a, const std::string &b) {
-        return rendezvousWeight(key, a) < rendezvousWeight(key, b);
-    };
-    const auto owner = std::max_element(entryIds_.begin(), entryIds_.end(), isBefore);
-    return owner != entryIds_.end() && *owner == settings_.instanceId_.value();
-}
-
 bool ServeDaemon::isReady() const
 {
     return areBackendsKnown_ && forwarder_.routes() != nullptr && !isStopping_;
@@ -212,10 +201,14 @@
 
 void ServeDaemon::updateRoles()
 {
-    entryIds_.clear();
+    std::vector<DutyCandidate> candidates;
     for (const InstanceRecord &entry : directory_.entries(loop_.now())) {
-        entryIds_.push_back(entry.id_.value());
+        candidates.push_back({ entry.id_, entry.location_ });
+    }
+    for (const InstanceRecord &entry : directory_.remoteEntries()) {
+        candidates.push_back({ entry.id_, entry.location_ });
     }
+    duties_.setCandidates(std::move(candidates));
     if (platform_.hasTriedInstances()) {
         platform_.setReader(directory_.readerRank(loop_.now()));
     }
--- a/apps/quetzaldaled/serve/servedaemon.h
+++ b/apps/quetzaldaled/serve/servedaemon.h
@@ -39,7 +39,6 @@
     void applyRoutes(const std::shared_ptr<const RoutingTable> &routes);
     void applyNote(const HealthNoteMessage &note);
     bool isReady() const;
-    bool owns(const Backend &server) const;
     void updateState();
     void updateRoles();
     void tick();
@@ -64,7 +63,7 @@
     CallerServer ready_;
     CallerServer directoryServer_;
     CallerServer metricsServer_;
-    std::vector<std::string> entryIds_; ///< Of this failure domain, a moment ago at most.
+    ServerDuties duties_;
     bool areBackendsKnown_ = false;
     bool isStopping_ = false;
     TimePoint stoppingSince_{};
--- a/packages/qz_forward/run/forwarder.cpp
+++ b/packages/qz_forward/run/forwarder.cpp
@@ -41,9 +41,9 @@
     started.start();
 }
 
-bool Forwarder::owns(const Backend &server) const
+ServerDuty Forwarder::dutyFor(const Backend &server) const
 {
-    return !owner_ || owner_(server);
+    return dutyFinder_ ? dutyFinder_(server) : ServerDuty::Owner;
 }
 
 void Forwarder::recordTry(Backend &server, TryResult result, Duration took, bool isRepeatable)
--- a/packages/qz_forward/run/forwarder.h
+++ b/packages/qz_forward/run/forwarder.h
@@ -52,9 +52,9 @@
     void setRoutes(std::shared_ptr<const RoutingTable> routes) { routes_ = std::move(routes); }
     const std::shared_ptr<const RoutingTable> &routes() const { return routes_; }
 
-    /// Tells whether this instance owns a server; without it, each does.
-    using Owner = std::function<bool(const Backend &server)>;
-    void setOwner(Owner owner) { owner_ = std::move(owner); }
+    /// Tells this instance's duty for a server; without it, it owns each.
+    using DutyFinder = std::function<ServerDuty(const Backend &server)>;
+    void setDutyFinder(DutyFinder finder) { dutyFinder_ = std::move(finder); }
 
     void setHealthListener(HealthListener listener) { healthListener_ = std::move(listener); }
 
@@ -79,8 +79,7 @@
     std::mt19937_64 &random() { return random_; }
     ServedShare &servedShare(const ServiceId &service) { return servedShares_[service]; }
     void recordTry(Backend &server, TryResult result, Duration took, bool isRepeatable);
-    /// Whether this instance keeps the server in use and tries it after a hold.
-    bool owns(const Backend &server) const;
+    ServerDuty dutyFor(const Backend &server) const;
     void dropLater(ForwardRun *run);
 
 private:
@@ -95,7 +94,7 @@
     double slackPart_ = 0.0;
     std::map<ServiceId, ServedShare> servedShares_;
     HealthListener healthListener_;
-    Owner owner_;
+    DutyFinder dutyFinder_;
     std::mt19937_64 random_;
     std::map<ForwardRun *, std::unique_ptr<ForwardRun>> runs_;
     std::set<ForwardRun *> ended_; ///< Dropped on the loop's next turn.
--- a/packages/qz_forward/run/forwardrun.cpp
+++ b/packages/qz_forward/run/forwardrun.cpp
@@ -204,7 +204,7 @@
         candidate.heldUntil_ = server->health().heldUntil();
         candidate.heldSince_ = server->health().heldSince();
         candidate.lastSent_ = server->lastSent();
-        candidate.isOwner_ = forwarder_.owns(*server);
+        candidate.duty_ = forwarder_.dutyFor(*server);
         candidate.slots_ = server->listed().slots_;
         candidate.inFlight_ = server->inFlight();
         candidate.slowness_ = server->health().slowness(mean);
@@ -548,7 +548,9 @@
     const Duration took = forwarder_.loop().now() - exchange_->arrivedAt();
     forwarder_.metrics().countRequest(service_.value(), outcome, took);
     const bool isFine = outcome == "answered" && status < firstFailureStatus;
-    if (route_ != nullptr && outcome != "caller-gone") {
+    // A failed trial says nothing of the servers in use, and must not lead to more trials.
+    const bool isLostTrial = !isFine && !tries_.empty() && tries_.back()->placement().isTrial_;
+    if (route_ != nullptr && outcome != "caller-gone" && !isLostTrial) {
         forwarder_.servedShare(service_).record(isFine, forwarder_.loop().now());
     }
     if (isLogged(LogLevel::Info)) {
--- a/packages/qz_placement/choice/placement.cpp
+++ b/packages/qz_placement/choice/placement.cpp
@@ -44,19 +44,45 @@
     return candidate.inFlight_ >= candidate.slots_ * (1 + costs.queuedPerSlot_);
 }
 
-bool isDueForTrial(const PlacementCandidate &candidate, const PlacementRequest &request,
-                   const PlacementCosts &costs, bool isNeeded, TimePoint now)
+/// Whether holds give way, and for which reason.
+struct HoldRelief
+{
+    bool isCrowded_ = false;   ///< No server in good health has a free slot.
+    bool isFloorNear_ = false; ///< Many requests fail and too many servers are left out.
+};
+
+bool isDueForTrial(const PlacementCandidate &candidate, const HoldRelief &relief,
+                   const PlacementCosts &costs, TimePoint now)
 {
     if (candidate.state_ == ServerHealth::State::Good || candidate.inFlight_ > 0
         || candidate.isTried_) {
         return false;
     }
-    if (!candidate.isOwner_) {
-        return now >= candidate.heldUntil_ + costs.foreignTrialDelay_
-                || (request.isSpread_ && now >= candidate.heldSince_ + costs.neededForeignHold_);
+    switch (candidate.duty_) {
+    case ServerDuty::Owner:
+        return now >= candidate.heldUntil_
+                || ((relief.isCrowded_ || relief.isFloorNear_)
+                    && now >= candidate.heldSince_ + costs.neededHold_);
+    case ServerDuty::Deputy:
+        if (relief.isFloorNear_ && now >= candidate.heldSince_ + costs.neededDeputyHold_) {
+            return true;
+        }
+        break;
+    case ServerDuty::None:
+        break;
     }
-    return now >= candidate.heldUntil_
-            || (isNeeded && now >= candidate.heldSince_ + costs.neededHold_);
+    return now >= candidate.heldUntil_ + costs.foreignTrialDelay_;
+}
+
+/// Whether so many servers are held for long that the rest is too small a part of the service.
+bool isFloorNear(const std::vector<PlacementCandidate> &candidates, const PlacementCosts &costs,
+                 TimePoint now)
+{
+    const auto leftOut = std::count_if(candidates.begin(), candidates.end(), [&](const auto &c) {
+        return c.state_ != ServerHealth::State::Good && now >= c.heldSince_ + costs.neededHold_;
+    });
+    return static_cast<double>(leftOut)
+            > costs.maxLeftOutPart_ * static_cast<double>(candidates.size());
 }
 
 bool hasFreeSlot(const std::vector<PlacementCandidate> &candidates)
@@ -73,8 +99,9 @@
     const Duration cost = expected + distanceCost(candidate, request, costs);
     const bool isIdle =
             candidate.inFlight_ < candidate.slots_ && now - candidate.lastSent_ > costs.idlePause_;
-    const bool isOwn = candidate.isOwner_ && candidate.distance_ == Distance::SameDomain;
-    return isIdle && (isOwn || request.isSpread_) ? cost - request.target_ : cost;
+    const bool isKeptInUse = candidate.duty_ == ServerDuty::Owner
+            || (candidate.duty_ == ServerDuty::Deputy && request.isSpread_);
+    return isIdle && isKeptInUse ? cost - request.target_ : cost;
 }
 
 } // namespace
@@ -108,15 +135,22 @@
     Duration bestCost{};
     std::optional<Placement> leastHeld;
     Duration leastHold{};
-    const bool isNeeded = request.isSpread_ || !hasFreeSlot(candidates);
+    const PlacementCandidate *longestHeld = nullptr; // Of those whose trial is due.
+    std::optional<Placement> trial;
+    const HoldRelief relief{ !hasFreeSlot(candidates),
+                             request.isSpread_ && isFloorNear(candidates, costs, now) };
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const PlacementCandidate &candidate = candidates[i];
         if (candidate.isTried_ || isFull(candidate, costs)) {
             continue;
         }
         const Duration expected = expectedAnswer(candidate, request, costs);
-        if (isDueForTrial(candidate, request, costs, isNeeded, now)) {
-            return Placement{ i, true, expected };
+        if (isDueForTrial(candidate, relief, costs, now)) {
+            if (longestHeld == nullptr || candidate.heldSince_ < longestHeld->heldSince_) {
+                longestHeld = &candidate;
+                trial = Placement{ i, true, expected };
+            }
+            continue;
         }
         if (expected > request.timeLeft_) {
             continue;
@@ -136,6 +170,9 @@
             bestCost = cost;
         }
     }
+    if (trial) {
+        return trial;
+    }
     return best ? best : leastHeld;
 }
 
--- a/packages/qz_placement/choice/placement.h
+++ b/packages/qz_placement/choice/placement.h
@@ -3,6 +3,7 @@
 
 #include "qz_core/ids/ids.h"
 #include "qz_core/time/clock.h"
+#include "qz_placement/choice/serverduties.h"
 #include "qz_placement/health/serverhealth.h"
 
 #include <optional>
@@ -23,15 +24,13 @@
     ServerHealth::State state_ = ServerHealth::State::Good;
     TimePoint heldUntil_{};
     TimePoint heldSince_{};
-    TimePoint lastSent_{};     ///< When it last got a request from this instance.
-    int slots_ = 1;            ///< Requests that the server works on at once.
-    int inFlight_ = 0;         ///< Requests of this instance that it has not answered.
-    double slowness_ = 1.0;    ///< Its time in relation to the service's mean.
-    Duration oldestWait_{ 0 }; ///< Age of the oldest request that it has not answered.
-    bool isTried_ = false;     ///< This request was sent to it before.
-    /// Of several instances, this one keeps the server in use and finds out whether it has
-    /// recovered.
-    bool isOwner_ = true;
+    TimePoint lastSent_{};                ///< When it last got a request from this instance.
+    int slots_ = 1;                       ///< Requests that the server works on at once.
+    int inFlight_ = 0;                    ///< Requests of this instance that it has not answered.
+    double slowness_ = 1.0;               ///< Its time in relation to the service's mean.
+    Duration oldestWait_{ 0 };            ///< Age of the oldest request that it has not answered.
+    bool isTried_ = false;                ///< This request was sent to it before.
+    ServerDuty duty_ = ServerDuty::Owner; ///< Of this instance.
 };
 
 /// What the choice knows of the request.
@@ -57,14 +56,17 @@
     double sameRegion_ = 0.35;
     double otherRegion_ = 0.8;
     Duration betweenRegions_ = std::chrono::milliseconds(24); ///< Round trip.
-    /// A held server that this instance is not to try is tried by it at last after this time.
+    /// A held server that another instance owns is tried by this one at last after this time.
     Duration foreignTrialDelay_ = std::chrono::seconds(8);
     /// A hold gives way at the server's owner after this time if no server in good health has a
-    /// free slot, or while many requests fail: the floor counts a server as sound again then.
+    /// free slot. While many requests fail the floor counts a server as sound again then, and
+    /// the longest held ones are tried if more than maxLeftOutPart_ of the servers are held for
+    /// so long.
     Duration neededHold_ = std::chrono::seconds(2);
-    /// The same at other instances, in case that the owner does not try the server. Longer than
-    /// a trial by the owner and its note to the others take.
-    Duration neededForeignHold_ = std::chrono::milliseconds(2700);
+    /// The same at the server's deputy: longer by what a trial by the owner and its note take.
+    Duration neededDeputyHold_ = std::chrono::milliseconds(2700);
+    /// Half of what the floor leaves, since it counts the servers without disruption alone.
+    double maxLeftOutPart_ = 0.15;
     /// A server that got no request for so long goes before the others, so that enough of a
     /// service's servers are in use when many requests come to fail.
     Duration idlePause_ = std::chrono::milliseconds(1300);
@@ -81,13 +83,13 @@
 /// Load pattern: slots suffice on the whole, but a part of the servers fails or is slow at
 /// any time, and the servers of one failure domain alone can be too few. Chooses the server
 /// with the lowest expected answer time plus the cost of distance, out of those in good
-/// health. A server whose trial is due goes first, at the instance that owns its trial. If
-/// only held servers are left, the one whose hold ends first is taken. Empty if no server
-/// could answer in the time left.
+/// health. A server whose trial is due goes first, at the instance that owns its trial; of
+/// several the longest held. If only held servers are left, the one whose hold ends first is
+/// taken. Empty if no server could answer in the time left.
 ///
 /// Most work stays with the servers that answer fast, since each server in use costs requests
 /// when it begins to fail; the others get a request now and then from the instance that owns
-/// them. Once many requests fail, all instances use idle servers, and holds end sooner: servers
+/// them. Once many requests fail, deputies use idle servers too, and holds end sooner: servers
 /// that failed for a moment must not be left out then.
 std::optional<Placement> choosePlacement(const std::vector<PlacementCandidate> &candidates,
                                          const PlacementRequest &request,
--- a/packages/qz_placement/qz_placement.h
+++ b/packages/qz_placement/qz_placement.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "qz_placement/choice/placement.h"
+#include "qz_placement/choice/serverduties.h"
 #include "qz_placement/health/servedshare.h"
 #include "qz_placement/health/serverhealth.h"
 #include "qz_placement/health/servicelatency.h"
--- a/packages/qz_placement/tests/placementtest.cpp
+++ b/packages/qz_placement/tests/placementtest.cpp
@@ -6,6 +6,7 @@
 
 using namespace std::chrono_literals;
 using qz::Distance;
+using qz::ServerDuty;
 using qz::ServerHealth;
 using qz::TryResult;
 
@@ -165,7 +166,7 @@
     const ServerHealth health = makeHeld(start);
     const auto now = health.heldUntil() + 10ms;
     auto held = makeHeldCandidate(health, now);
-    held.isOwner_ = false;
+    held.duty_ = ServerDuty::None;
     BOOST_TEST(choose({ held, makeCandidate(Distance::SameDomain, 0) }, makeRequest(), now) == 1);
     const auto later = health.heldUntil() + qz::PlacementCosts().foreignTrialDelay_;
     BOOST_TEST(choose({ held, makeCandidate(Distance::SameDomain, 0) }, makeRequest(), later) == 0);
@@ -185,7 +186,7 @@
 {
     auto idle = makeCandidate(Distance::SameDomain, 0);
     idle.slowness_ = 1.5;
-    idle.isOwner_ = false;
+    idle.duty_ = ServerDuty::Deputy;
     auto used = makeCandidate(Distance::SameDomain, 0);
     const auto now = start + 3s;
     used.lastSent_ = now;
@@ -194,47 +195,52 @@
     request.isSpread_ = true;
     BOOST_TEST(choose({ idle, used }, request, now) == 0);
     request.isSpread_ = false;
-    idle.isOwner_ = true;
+    idle.duty_ = ServerDuty::Owner;
     BOOST_TEST(choose({ idle, used }, request, now) == 0);
-    idle.isOwner_ = false;
+    idle.duty_ = ServerDuty::Deputy;
     request.isSpread_ = true;
     const ServerHealth held = makeHeld(start, false);
     idle.lastSent_ = now;
     BOOST_TEST(choose({ makeHeldCandidate(held, now), idle, used }, request, now) == 0);
 }
 
-BOOST_AUTO_TEST_CASE(whileManyFailEachHeldServerIsTriedAlsoWhereFewAreHeld)
+BOOST_AUTO_TEST_CASE(whileManyFailTheLongestHeldServersAreTriedUntilFewAreLeftOut)
 {
     // Only a part of a service's servers may be free of disruption; of those, more can be held
-    // than of all of them.
-    const ServerHealth health = makeHeld(start, false);
-    const auto now = start + qz::PlacementCosts().neededHold_;
+    // than of all of them, so the limit is half of what the floor leaves.
+    const ServerHealth first = makeHeld(start, false);
+    const ServerHealth second = makeHeld(start + 100ms, false);
+    const auto now = start + 100ms + qz::PlacementCosts().neededHold_;
     auto good = makeCandidate(Distance::SameDomain, 0);
     good.lastSent_ = now;
-    std::vector<qz::PlacementCandidate> candidates(9, good);
-    candidates.push_back(makeHeldCandidate(health, now));
+    std::vector<qz::PlacementCandidate> candidates(8, good);
+    candidates.push_back(makeHeldCandidate(second, now));
+    candidates.push_back(makeHeldCandidate(first, now));
     auto request = makeRequest();
-    BOOST_TEST(choose(candidates, request, now) != 9);
+    BOOST_TEST(choose(candidates, request, now) < 8);
     request.isSpread_ = true;
     BOOST_TEST(choose(candidates, request, now) == 9);
-    BOOST_TEST(choose(candidates, request, now - 1ms) != 9);
+    candidates.pop_back();
+    BOOST_TEST(choose(candidates, request, now) < 8);
 }
 
-BOOST_AUTO_TEST_CASE(whileManyFailOtherInstancesTryAHeldServerThatItsOwnerDoesNot)
+BOOST_AUTO_TEST_CASE(whileManyFailTheDeputyTriesAHeldServerThatItsOwnerDoesNot)
 {
     const ServerHealth health = makeHeld(start, false);
     auto good = makeCandidate(Distance::SameDomain, 0);
     auto request = makeRequest();
     request.isSpread_ = true;
-    const auto chooseAt = [&](qz::TimePoint now) {
+    const auto chooseAt = [&](qz::TimePoint now, ServerDuty duty) {
         auto held = makeHeldCandidate(health, now);
-        held.isOwner_ = false;
+        held.duty_ = duty;
         held.distance_ = Distance::OtherRegion;
         good.lastSent_ = now;
         return choose({ good, held }, request, now);
     };
-    BOOST_TEST(chooseAt(start + qz::PlacementCosts().neededHold_) == 0);
-    BOOST_TEST(chooseAt(start + qz::PlacementCosts().neededForeignHold_) == 1);
+    const auto deputyTime = start + qz::PlacementCosts().neededDeputyHold_;
+    BOOST_TEST(chooseAt(start + qz::PlacementCosts().neededHold_, ServerDuty::Deputy) == 0);
+    BOOST_TEST(chooseAt(deputyTime, ServerDuty::Deputy) == 1);
+    BOOST_TEST(chooseAt(deputyTime, ServerDuty::None) == 0);
 }
 
 BOOST_AUTO_TEST_CASE(aNoteOfAFailureWithinAHoldStartsItAnew)
