--- a/packages/qz_placement/choice/placement.cpp
+++ b/packages/qz_placement/choice/placement.cpp
@@ -36,7 +36,8 @@
     case Distance::OtherRegion:
         return scaled(request.target_, costs.otherRegion_);
     }
-    return Duration::zero();
+    return candidate.duty_ == ServerDuty::Owner ? Duration::zero()
+                                                : scaled(request.target_, costs.otherOwner_);
 }
 
 bool isFull(const PlacementCandidate &candidate, const PlacementCosts &costs)
--- a/packages/qz_placement/choice/placement.h
+++ b/packages/qz_placement/choice/placement.h
@@ -49,10 +49,13 @@
     static constexpr double spreadLevel_ = 0.08;
 };
 
-/// What distance costs, as a part of the request's target time. Bytes between failure
+/// What a server costs beside its time, as a part of the request's target time. Bytes between failure
 /// domains and regions are paid by volume, so work stays near unless it would be late there.
 struct PlacementCosts
 {
+    /// A server of the domain that another instance owns: how much of that one's work waits
+    /// there is not known here.
+    double otherOwner_ = 0.1;
     double sameRegion_ = 0.35;
     double otherRegion_ = 0.8;
     Duration betweenRegions_ = std::chrono::milliseconds(24); ///< Round trip.
@@ -87,8 +90,9 @@
 /// several the longest held. If only held servers are left, the one whose hold ends first is
 /// taken. Empty if no server could answer in the time left.
 ///
-/// Most work stays with the servers that answer fast, since each server in use costs requests
-/// when it begins to fail; the others get a request now and then from the instance that owns
+/// Most work of an instance stays with the servers that it owns, whose queues it knows, and of
+/// these with the ones that answer fast, since each server in use costs requests when it begins
+/// to fail; the others get a request now and then from the instance that owns
 /// them. Once many requests fail, deputies use idle servers too, and holds end sooner: servers
 /// that failed for a moment must not be left out then.
 std::optional<Placement> choosePlacement(const std::vector<PlacementCandidate> &candidates,
--- a/packages/qz_placement/health/serverhealth.cpp
+++ b/packages/qz_placement/health/serverhealth.cpp
@@ -13,10 +13,14 @@
 /// The share of a new answer in the mean latency.
 constexpr double latencyGain = 0.25;
 
-/// A connection that breaks sooner than this part of the usual time of an answer was refused
-/// rather than lost with an answer.
+/// A connection that breaks sooner than this part of the time of the quickest answers was
+/// refused rather than lost with an answer.
 constexpr double earlyPart = 0.5;
 
+/// How much of the quickest answer's time is added with each slower one, so that one odd
+/// answer does not count for ever.
+constexpr double quickestDrift = 0.01;
+
 /// Evidence of one result. Sound servers answer with a failure, shed when full and lose an
 /// answer now and then, so these count in part only.
 double weightOf(TryResult result, bool isEarly)
@@ -97,13 +101,16 @@
     if (result == TryResult::Answered) {
         const double gain = meanLatency_ == Duration::zero() ? 1.0 : latencyGain;
         meanLatency_ += std::chrono::duration_cast<Duration>((took - meanLatency_) * gain);
+        quickest_ += std::chrono::duration_cast<Duration>(quickest_ * quickestDrift);
+        quickest_ = quickest_ == Duration::zero() ? took : std::min(quickest_, took);
         suspicion_ /= 2.0;
         if (trialsLeft_ > 0 && now >= heldUntil_ && --trialsLeft_ == 0) {
             nextHold_ = Duration::zero();
         }
         return false;
     }
-    const bool isEarly = meanLatency_ == Duration::zero() || took < meanLatency_ * earlyPart;
+    // A queue lengthens the mean, not the quickest answers.
+    const bool isEarly = quickest_ == Duration::zero() || took < quickest_ * earlyPart;
     suspicion_ += weightOf(result, isEarly);
     const bool isOnTrial = trialsLeft_ > 0;
     if (suspicion_ < holdLevel && !isOnTrial) {
--- a/packages/qz_placement/health/serverhealth.h
+++ b/packages/qz_placement/health/serverhealth.h
@@ -92,6 +92,7 @@
     Duration nextHold_{ 0 };    ///< Of the next failure; zero: the first hold.
     int trialsLeft_ = 0;        ///< Above zero: held or on trial.
     Duration meanLatency_{ 0 }; ///< Zero: no answer yet.
+    Duration quickest_{ 0 };    ///< Of the answers, rising slowly; zero: no answer yet.
 };
 
 } // namespace qz
--- a/packages/qz_placement/tests/placementtest.cpp
+++ b/packages/qz_placement/tests/placementtest.cpp
@@ -73,6 +73,14 @@
                == 1);
 }
 
+BOOST_AUTO_TEST_CASE(workStaysWithOwnedServersUntilItWouldWaitThere)
+{
+    auto other = makeCandidate(Distance::SameDomain, 0);
+    other.duty_ = ServerDuty::None;
+    BOOST_TEST(choose({ other, makeCandidate(Distance::SameDomain, 1) }) == 1);
+    BOOST_TEST(choose({ other, makeCandidate(Distance::SameDomain, 2) }) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(aRequestThatNoServerCanAnswerInTimeIsNotPlaced)
 {
     auto request = makeRequest();
@@ -100,6 +108,17 @@
     BOOST_CHECK(health.state(start) == ServerHealth::State::Held);
 }
 
+BOOST_AUTO_TEST_CASE(aLostAnswerIsNotTakenForARefusalWhereAnswersWaitInAQueue)
+{
+    ServerHealth health;
+    for (int i = 0; i < 20; ++i) {
+        health.record(TryResult::Answered, i % 5 == 0 ? 180ms : 900ms, false, start);
+    }
+    BOOST_TEST(!health.record(TryResult::Cut, 150ms, false, start));
+    health.record(TryResult::Answered, 900ms, false, start);
+    BOOST_TEST(health.record(TryResult::Cut, 2ms, false, start));
+}
+
 BOOST_AUTO_TEST_CASE(aRareServerErrorHoldsNobodyAndTwoInARowDo)
 {
     ServerHealth health;
