--- a/packages/qz_forward/run/forwarder.cpp
+++ b/packages/qz_forward/run/forwarder.cpp
@@ -53,7 +53,7 @@
     const ServiceId &service = server.listed().service_;
     metrics_.countTry(service.value(), result);
     if (result == TryResult::Answered) {
-        latencies_[service].record(took);
+        latencies_[service].record(took, now);
     }
     if (server.health().record(result, took, isRepeatable, now)) {
         const Duration hold = server.health().heldUntil() - now;
--- a/packages/qz_placement/choice/placement.cpp
+++ b/packages/qz_placement/choice/placement.cpp
@@ -48,7 +48,7 @@
 /// Whether holds give way, and for which reason.
 struct HoldRelief
 {
-    bool isCrowded_ = false;   ///< No server in good health has a free slot.
+    bool isCrowded_ = false;   ///< Requests wait for the servers in good health.
     bool isFloorNear_ = false; ///< Many requests fail and too many servers are left out.
 };
 
@@ -138,7 +138,7 @@
     Duration leastHold{};
     const PlacementCandidate *longestHeld = nullptr; // Of those whose trial is due.
     std::optional<Placement> trial;
-    const HoldRelief relief{ !hasFreeSlot(candidates),
+    const HoldRelief relief{ request.isCrowded_ || !hasFreeSlot(candidates),
                              request.isSpread_ && isFloorNear(candidates, costs, now) };
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const PlacementCandidate &candidate = candidates[i];
--- a/packages/qz_placement/choice/placement.h
+++ b/packages/qz_placement/choice/placement.h
@@ -42,6 +42,8 @@
     Duration expected_{}; ///< Mean time of an answer of the service.
     /// Many of the service's requests fail: spread the others over all its servers.
     bool isSpread_ = false;
+    /// Requests wait for the servers in use: held ones are worth a trial. @see ServiceLatency
+    bool isCrowded_ = false;
 
     /// The part of a service's requests at one instance that fails from which on isSpread_
     /// holds. Below the tenth, over all instances, at which the floor of servers in use binds:
@@ -49,8 +51,9 @@
     static constexpr double spreadLevel_ = 0.08;
 };
 
-/// What a server costs beside its time, as a part of the request's target time. Bytes between failure
-/// domains and regions are paid by volume, so work stays near unless it would be late there.
+/// What a server costs beside its time, as a part of the request's target time. Bytes between
+/// failure domains and regions are paid by volume, so work stays near unless it would be late
+/// there.
 struct PlacementCosts
 {
     /// A server of the domain that another instance owns: how much of that one's work waits
@@ -61,8 +64,8 @@
     Duration betweenRegions_ = std::chrono::milliseconds(24); ///< Round trip.
     /// A held server that another instance owns is tried by this one at last after this time.
     Duration foreignTrialDelay_ = std::chrono::seconds(8);
-    /// A hold gives way at the server's owner after this time if no server in good health has a
-    /// free slot. While many requests fail the floor counts a server as sound again then, and
+    /// A hold gives way at the server's owner after this time if requests wait for the servers
+    /// in good health. While many requests fail the floor counts a server as sound again then, and
     /// the longest held ones are tried if more than maxLeftOutPart_ of the servers are held for
     /// so long.
     Duration neededHold_ = std::chrono::seconds(2);
--- a/packages/qz_placement/health/serverhealth.cpp
+++ b/packages/qz_placement/health/serverhealth.cpp
@@ -104,7 +104,9 @@
         quickest_ += std::chrono::duration_cast<Duration>(quickest_ * quickestDrift);
         quickest_ = quickest_ == Duration::zero() ? took : std::min(quickest_, took);
         suspicion_ /= 2.0;
-        if (trialsLeft_ > 0 && now >= heldUntil_ && --trialsLeft_ == 0) {
+        // Answers to requests from before the hold say nothing of the trial.
+        if (trialsLeft_ > 0 && now - took >= heldSince_ && --trialsLeft_ == 0) {
+            heldUntil_ = std::min(heldUntil_, now);
             nextHold_ = Duration::zero();
         }
         return false;
--- a/packages/qz_placement/health/servicelatency.cpp
+++ b/packages/qz_placement/health/servicelatency.cpp
@@ -2,6 +2,7 @@
 #include "qz_placement/health/servicelatency.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace qz {
 
@@ -12,6 +13,11 @@
 constexpr double highStepUp = 0.45;
 constexpr double highStepDown = 0.05;
 constexpr int enoughAnswers = 10;
+/// How long the lowest mean counts, at least. Longer than a flood, shorter than the hours over
+/// which the work itself changes.
+constexpr Duration lowestPeriod = std::chrono::minutes(2);
+/// Of the lowest mean. The mean of answers that do not wait stays within about a quarter of it.
+constexpr double crowdedFactor = 1.5;
 /// Of the target time, as long as there were too few answers.
 constexpr double assumedMean = 0.35;
 constexpr double assumedHigh = 0.7;
@@ -23,7 +29,7 @@
 
 } // namespace
 
-void ServiceLatency::record(Duration took)
+void ServiceLatency::record(Duration took, TimePoint now)
 {
     if (count_ == 0) {
         mean_ = took;
@@ -34,6 +40,21 @@
     mean_ += scaled(took - mean_, gain);
     high_ += took > high_ ? scaled(mean_, highStepUp) : -scaled(mean_, highStepDown);
     high_ = std::max(high_, mean_);
+    if (!isKnown()) {
+        return;
+    }
+    if (now - periodStart_ > lowestPeriod) {
+        lowestBefore_ = std::exchange(lowest_, mean_);
+        periodStart_ = now;
+    }
+    lowest_ = std::min(lowest_, mean_);
+}
+
+bool ServiceLatency::isCrowded() const
+{
+    const Duration lowest =
+            lowestBefore_ == Duration::zero() ? lowest_ : std::min(lowest_, lowestBefore_);
+    return isKnown() && mean_ > scaled(lowest, crowdedFactor);
 }
 
 bool ServiceLatency::isKnown() const
--- a/packages/qz_placement/health/servicelatency.h
+++ b/packages/qz_placement/health/servicelatency.h
@@ -10,7 +10,7 @@
 class ServiceLatency
 {
 public:
-    void record(Duration took);
+    void record(Duration took, TimePoint now);
 
     /// There were enough answers to tell.
     bool isKnown() const;
@@ -21,9 +21,17 @@
     /// A time that about nine in ten answers do not exceed.
     Duration high(Duration target) const;
 
+    /// Answers take much longer than they did within the last minutes: requests wait for the
+    /// servers in use.
+    bool isCrowded() const;
+
 private:
     Duration mean_{ 0 }; ///< Zero: no answer yet.
     Duration high_{ 0 };
+    /// The lowest mean of the current period and of the one before; zero: none yet.
+    Duration lowest_{ 0 };
+    Duration lowestBefore_{ 0 };
+    TimePoint periodStart_{};
     int count_ = 0;
 };
 
--- a/packages/qz_placement/tests/placementtest.cpp
+++ b/packages/qz_placement/tests/placementtest.cpp
@@ -167,6 +167,18 @@
     BOOST_CHECK(health.heldUntil() - health.heldSince() <= qz::HealthLimits().longestHold_);
 }
 
+BOOST_AUTO_TEST_CASE(aTrialWithinAHoldEndsItWithTwoAnswersToRequestsOfTheTrial)
+{
+    ServerHealth health = makeHeld(start, false);
+    const auto now = start + 3s;
+    health.record(TryResult::Answered, 4s, false, now);
+    health.record(TryResult::Answered, 4s, false, now);
+    BOOST_CHECK(health.state(now) == ServerHealth::State::Held);
+    health.record(TryResult::Answered, 200ms, false, now);
+    health.record(TryResult::Answered, 200ms, false, now);
+    BOOST_CHECK(health.state(now) == ServerHealth::State::Good);
+}
+
 BOOST_AUTO_TEST_CASE(aTrialThatCostsARequestComesLaterUnlessTheServerIsNeeded)
 {
     const ServerHealth health = makeHeld(start, false);
@@ -176,6 +188,9 @@
     const auto now = start + 3s;
     BOOST_TEST(choose({ makeHeldCandidate(health, now), good }, makeRequest(), now) == 1);
     BOOST_TEST(choose({ makeHeldCandidate(health, now), busy }, makeRequest(), now) == 0);
+    auto crowded = makeRequest();
+    crowded.isCrowded_ = true;
+    BOOST_TEST(choose({ makeHeldCandidate(health, now), good }, crowded, now) == 0);
     const auto later = start + qz::HealthLimits().firstCostlyHold_;
     BOOST_TEST(choose({ makeHeldCandidate(health, later), good }, makeRequest(), later) == 0);
 }
@@ -359,8 +374,19 @@
     qz::ServiceLatency latency;
     BOOST_CHECK(latency.mean(1s) == 350ms);
     for (int i = 0; i < 400; ++i) {
-        latency.record(std::chrono::milliseconds(100 + 10 * (i % 20)));
+        latency.record(std::chrono::milliseconds(100 + 10 * (i % 20)), start);
     }
+    BOOST_TEST(!latency.isCrowded());
     BOOST_CHECK(latency.mean(1s) > 150ms && latency.mean(1s) < 240ms);
     BOOST_CHECK(latency.high(1s) > 220ms && latency.high(1s) < 400ms);
+    for (int i = 0; i < 40; ++i) {
+        latency.record(500ms, start + 30s);
+    }
+    BOOST_TEST(latency.isCrowded());
+    // What lasts is not a flood.
+    for (int i = 0; i < 40; ++i) {
+        latency.record(500ms, start + 3min);
+    }
+    latency.record(500ms, start + 6min);
+    BOOST_TEST(!latency.isCrowded());
 }
--- a/packages/qz_placement/tests/servermodel.h
+++ b/packages/qz_placement/tests/servermodel.h
@@ -149,6 +149,7 @@
         made.target_ = load_.target_;
         made.timeLeft_ = request.arrivedAt_ + load_.timeout_ - now_;
         made.expected_ = latency_.mean(load_.target_);
+        made.isCrowded_ = latency_.isCrowded();
         made.isSpread_ = share_.unserved(now_) > PlacementRequest::spreadLevel_;
         return made;
     }
@@ -238,7 +239,7 @@
     void succeed(const RequestPtr &request, std::size_t index, TimePoint sentAt)
     {
         finishTry(index, sentAt, TryResult::Answered);
-        latency_.record(now_ - sentAt);
+        latency_.record(now_ - sentAt, now_);
         result_.late_ += now_ - request->arrivedAt_ > load_.target_ ? 1 : 0;
         end(*request, result_.served_, true);
     }
