--- a/packages/qz_placement/choice/placement.h
+++ b/packages/qz_placement/choice/placement.h
@@ -58,9 +58,9 @@
 {
     /// A server of the domain that another instance owns: how much of that one's work waits
     /// there is not known here.
-    double otherOwner_ = 0.1;
-    double sameRegion_ = 0.35;
-    double otherRegion_ = 0.8;
+    double otherOwner_ = 0.05;
+    double sameRegion_ = 0.15;
+    double otherRegion_ = 0.4;
     Duration betweenRegions_ = std::chrono::milliseconds(24); ///< Round trip.
     /// A held server that another instance owns is tried by this one at last after this time.
     Duration foreignTrialDelay_ = std::chrono::seconds(8);
