--- a/packages/qz_presence/directory/instancedirectory.cpp
+++ b/packages/qz_presence/directory/instancedirectory.cpp
@@ -14,6 +14,9 @@
 /// Sets the order in which instances become readers apart from that of entries.
 constexpr const char *readersSuffix = "/readers";
 
+/// Keeps the digests of ids apart from other uses of the hash.
+constexpr const char *digestKey = "known instances";
+
 bool isSame(const InstanceRecord &a, const InstanceRecord &b)
 {
     return a.callerEndpoint_ == b.callerEndpoint_ && a.peerEndpoint_ == b.peerEndpoint_
@@ -26,6 +29,7 @@
 InstanceDirectory::InstanceDirectory(InstanceRecord self, Limits limits)
     : self_(std::move(self))
     , limits_(limits)
+    , digest_(rendezvousWeight(digestKey, self_.id_.value()))
 {
 }
 
@@ -34,14 +38,21 @@
     if (record.id_ == self_.id_) {
         return false;
     }
-    Known &known = others_[record.id_.value()];
-    if (!known.record_.id_.isEmpty() && isSame(known.record_, record)) {
+    const auto [found, isNew] = others_.try_emplace(record.id_.value());
+    if (isNew) {
+        digest_ ^= rendezvousWeight(digestKey, record.id_.value());
+    } else if (isSame(found->second.record_, record)) {
         return false;
     }
-    known = Known{ record, now, {}, false };
+    found->second = Known{ record, now, {}, false };
     return true;
 }
 
+bool InstanceDirectory::addUnknown(const InstanceRecord &record, TimePoint now)
+{
+    return others_.count(record.id_.value()) == 0 && put(record, now);
+}
+
 void InstanceDirectory::hear(const InstanceId &id, const InstanceState &state, TimePoint now)
 {
     const auto found = others_.find(id.value());
--- a/packages/qz_presence/directory/instancedirectory.h
+++ b/packages/qz_presence/directory/instancedirectory.h
@@ -60,6 +60,13 @@
     /// one is taken as live, but not as ready, until it could have been heard.
     bool put(const InstanceRecord &record, TimePoint now);
 
+    /// Adds an instance that another one knows; what is known of it already holds.
+    bool addUnknown(const InstanceRecord &record, TimePoint now);
+
+    /// A digest of the ids of all known instances and of this one: the same at instances that
+    /// know the same.
+    std::uint64_t digest() const { return digest_; }
+
     /// An instance said that it is live.
     void hear(const InstanceId &id, const InstanceState &state, TimePoint now);
     /// The link to an instance was lost or it said that it stops.
@@ -113,6 +120,7 @@
     Limits limits_;
     InstanceState selfState_;
     std::map<std::string, Known> others_; ///< By id, without this instance.
+    std::uint64_t digest_;                ///< Of the ids in others_ and of self_.
 };
 
 } // namespace qz
--- a/packages/qz_presence/exchange/presencedriver.cpp
+++ b/packages/qz_presence/exchange/presencedriver.cpp
@@ -13,6 +13,10 @@
 /// Three of these fit into the silence that ends an instance's presence.
 constexpr Duration announcePeriod = std::chrono::milliseconds(400);
 
+/// Between two lists of known instances that an instance sends of its own accord: one to each
+/// announcement, whoever it comes from.
+constexpr Duration listPause = announcePeriod;
+
 } // namespace
 
 PresenceDriver::PresenceDriver(EventLoop &loop, PeerLinks &links, InstanceDirectory &directory)
@@ -26,6 +30,7 @@
 {
     links_.setHandler(MessageKind::Presence, nullptr);
     links_.setHandler(MessageKind::HealthNote, nullptr);
+    links_.setHandler(MessageKind::InstanceList, nullptr);
 }
 
 void PresenceDriver::start()
@@ -38,6 +43,10 @@
                       [this](const InstanceId &from, std::string_view payload) {
                           receiveNote(from, payload);
                       });
+    links_.setHandler(MessageKind::InstanceList,
+                      [this](const InstanceId &from, std::string_view payload) {
+                          receiveList(from, payload);
+                      });
     links_.setLinkLostHandler([this](const InstanceId &peer) { directory_.lose(peer); });
     timer_ = loop_.callEvery(announcePeriod, [this] { announce(); });
 }
@@ -49,11 +58,16 @@
         isChanged = directory_.put(record, loop_.now()) || isChanged;
     }
     if (isChanged) {
-        updatePeers();
-        announceSoon_ = loop_.callAfter(Duration::zero(), [this] { announce(); });
+        takeChange();
     }
 }
 
+void PresenceDriver::takeChange()
+{
+    updatePeers();
+    announceSoon_ = loop_.callAfter(Duration::zero(), [this] { announce(); });
+}
+
 void PresenceDriver::setState(const InstanceState &state)
 {
     if (state.isReady_ != state_.isReady_ || state.isStoreLost_ != state_.isStoreLost_) {
@@ -67,7 +81,8 @@
 {
     const std::string message =
             packMessage(PresenceMessage{ directory_.self(), state_.isReady_, state_.isStoreLost_,
-                                         versions_ ? versions_() : TableVersions() });
+                                         versions_ ? versions_() : TableVersions(),
+                                         directory_.all().size() + 1, directory_.digest() });
     for (const InstanceRecord &neighbour : directory_.neighbours()) {
         // A neighbour that is down is dialled again by the links; nothing else is lost.
         (void)links_.send(neighbour.id_, MessageKind::Presence, message);
@@ -99,11 +114,54 @@
     const PresenceMessage &presence = message.value();
     addInstances({ presence.sender_ });
     directory_.hear(from, { presence.isReady_, presence.isStoreLost_ }, loop_.now());
+    compareKnown(from, presence);
     if (versionsHandler_) {
         versionsHandler_(from, presence.versions_);
     }
 }
 
+void PresenceDriver::compareKnown(const InstanceId &from, const PresenceMessage &presence)
+{
+    const auto ours =
+            std::make_pair(std::uint64_t(directory_.all().size() + 1), directory_.digest());
+    // The one that knows less begins, so that only one of the two does.
+    if (ours < std::make_pair(presence.knownCount_, presence.knownDigest_)
+        && loop_.now() - listSentAt_ >= listPause) {
+        listSentAt_ = loop_.now();
+        sendList(from, false);
+    }
+}
+
+void PresenceDriver::sendList(const InstanceId &to, bool isAnswer)
+{
+    InstanceListMessage list{ directory_.all(), isAnswer };
+    list.records_.push_back(directory_.self());
+    // A list that is lost is sent again after a later announcement.
+    (void)links_.send(to, MessageKind::InstanceList, packMessage(list));
+}
+
+void PresenceDriver::receiveList(const InstanceId &from, std::string_view payload)
+{
+    const auto message = unpackMessage<InstanceListMessage>(payload);
+    if (message.has_error()) {
+        log(LogLevel::Warning, "instance-list-malformed", { { "from", from.value() } });
+        return;
+    }
+    const std::size_t before = directory_.all().size();
+    for (const InstanceRecord &record : message.value().records_) {
+        directory_.addUnknown(record, loop_.now());
+    }
+    const std::size_t found = directory_.all().size() - before;
+    if (found > 0) {
+        log(LogLevel::Info, "instances-learned",
+            { { "from", from.value() }, { "new", found }, { "known", before + found + 1 } });
+        takeChange();
+    }
+    if (!message.value().isAnswer_) {
+        sendList(from, true);
+    }
+}
+
 void PresenceDriver::receiveNote(const InstanceId &from, std::string_view payload)
 {
     const auto message = unpackMessage<HealthNoteMessage>(payload);
--- a/packages/qz_presence/exchange/presencedriver.h
+++ b/packages/qz_presence/exchange/presencedriver.h
@@ -13,6 +13,9 @@
 /// Says a few times a second to all instances of the failure domain that this one is live,
 /// and sends health notes to the entries of all failure domains. Notes are sent once and may
 /// be lost: the receiver then finds out by its own requests.
+///
+/// Instances that start together each find only a part of the others in the store. So two
+/// instances of a domain that know different ones tell each other all of theirs.
 /// @see InstanceDirectory
 class PresenceDriver
 {
@@ -45,6 +48,10 @@
     void announce();
     void receivePresence(const InstanceId &from, std::string_view payload);
     void receiveNote(const InstanceId &from, std::string_view payload);
+    void receiveList(const InstanceId &from, std::string_view payload);
+    void compareKnown(const InstanceId &from, const PresenceMessage &presence);
+    void sendList(const InstanceId &to, bool isAnswer);
+    void takeChange();
     void updatePeers();
 
     EventLoop &loop_;
@@ -56,6 +63,7 @@
     InstanceState state_;
     Timers::HandlePtr timer_;
     Timers::HandlePtr announceSoon_; ///< After new instances were found.
+    TimePoint listSentAt_{};         ///< A list that was no answer.
 };
 
 } // namespace qz
--- a/packages/qz_presence/exchange/presencemessages.h
+++ b/packages/qz_presence/exchange/presencemessages.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace qz {
 
@@ -21,8 +22,19 @@
     bool isReady_ = false;     ///< It takes callers. False as well once it stops.
     bool isStoreLost_ = false; ///< It tried to read from the store and cannot.
     TableVersions versions_;
+    std::uint64_t knownCount_ = 0;  ///< Instances that the sender knows, itself among them.
+    std::uint64_t knownDigest_ = 0; ///< Of their ids. @see InstanceDirectory::digest
 
-    MSGPACK_DEFINE(sender_, isReady_, isStoreLost_, versions_)
+    MSGPACK_DEFINE(sender_, isReady_, isStoreLost_, versions_, knownCount_, knownDigest_)
+};
+
+/// All instances that the sender knows, those of other failure domains too.
+struct InstanceListMessage
+{
+    std::vector<InstanceRecord> records_;
+    bool isAnswer_ = false; ///< To the receiver's own list, sent a moment ago.
+
+    MSGPACK_DEFINE(records_, isAnswer_)
 };
 
 /// The sender's requests to a backend server fail, or are answered again.
--- a/packages/qz_replica/tests/replicatest.cpp
+++ b/packages/qz_replica/tests/replicatest.cpp
@@ -81,6 +81,30 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_CASE(instancesThatKnowDifferentOnesTellEachOtherAllOfTheirs)
+{
+    qz::EventLoop loop;
+    Node a(loop, "a", "d");
+    Node b(loop, "b", "d");
+    Node c(loop, "c", "d");
+    Node remote(loop, "r", "e");
+    // As after a start of all together: each pair that registers at the same time does not see
+    // each other in the store.
+    a.presence_->addInstances({ b.record_ });
+    c.presence_->addInstances({ b.record_, remote.record_ });
+    for (Node *node : { &a, &b, &c }) {
+        node->presence_->setState({ true, false });
+        node->presence_->start();
+    }
+    loop.runFor(1500ms);
+    BOOST_TEST(a.directory_.isNeighbour(c.record_.id_));
+    BOOST_TEST(c.directory_.isNeighbour(a.record_.id_));
+    BOOST_TEST(a.directory_.all().size() == 3);
+    BOOST_TEST(a.directory_.digest() == b.directory_.digest());
+    BOOST_TEST(a.directory_.digest() == c.directory_.digest());
+    BOOST_TEST(a.directory_.entries(loop.now()).size() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(versionsOnlyRiseAndGapsAreRefused)
 {
     qz::TableReplica replica("t");
