--- a/packages/qz_forward/run/forwardrun.cpp
+++ b/packages/qz_forward/run/forwardrun.cpp
@@ -249,14 +249,8 @@
             servers_.push_back(server);
         }
     }
-    if (!servers_.empty()) {
-        // Of servers that cost the same the first is taken; that must not be the same one at
-        // all instances.
-        std::uniform_int_distribution<std::ptrdiff_t> first(
-                0, static_cast<std::ptrdiff_t>(servers_.size()) - 1);
-        std::rotate(servers_.begin(), servers_.begin() + first(forwarder_.random()),
-                    servers_.end());
-    }
+    // Instances must not all prefer the same ones.
+    std::shuffle(servers_.begin(), servers_.end(), forwarder_.random());
     const auto placement = choose();
     if (!placement) {
         return false;
--- a/packages/qz_placement/choice/placement.cpp
+++ b/packages/qz_placement/choice/placement.cpp
@@ -2,6 +2,7 @@
 #include "qz_placement/choice/placement.h"
 
 #include <algorithm>
+#include <array>
 
 namespace qz {
 
@@ -93,18 +94,37 @@
     });
 }
 
-/// What a request costs at a server in good health; the lowest wins.
-Duration costOf(const PlacementCandidate &candidate, Duration expected,
-                const PlacementRequest &request, const PlacementCosts &costs, TimePoint now)
+/// Whether this instance is to send the server a request so that it stays in use.
+bool isDueForUse(const PlacementCandidate &candidate, const PlacementRequest &request,
+                 const PlacementCosts &costs, TimePoint now)
 {
-    const Duration cost = expected + distanceCost(candidate, request, costs);
     const bool isIdle =
             candidate.inFlight_ < candidate.slots_ && now - candidate.lastSent_ > costs.idlePause_;
     const bool isKeptInUse = candidate.duty_ == ServerDuty::Owner
             || (candidate.duty_ == ServerDuty::Deputy && request.isSpread_);
-    return isIdle && isKeptInUse ? cost - request.target_ : cost;
+    return isIdle && isKeptInUse;
 }
 
+/// Chooses which servers of other owners are compared: the first few of each distance.
+class ForeignSample
+{
+public:
+    explicit ForeignSample(int limit)
+        : limit_(limit)
+    {
+    }
+
+    bool takes(const PlacementCandidate &candidate)
+    {
+        return candidate.duty_ == ServerDuty::Owner
+                || taken_[static_cast<std::size_t>(candidate.distance_)]++ < limit_;
+    }
+
+private:
+    const int limit_;
+    std::array<int, 3> taken_{}; ///< By distance.
+};
+
 } // namespace
 
 Distance distanceBetween(const Location &a, const Location &b)
@@ -134,6 +154,7 @@
 {
     std::optional<Placement> best;
     Duration bestCost{};
+    ForeignSample sample(costs.comparedForeign_);
     std::optional<Placement> leastHeld;
     Duration leastHold{};
     const PlacementCandidate *longestHeld = nullptr; // Of those whose trial is due.
@@ -165,7 +186,12 @@
             }
             continue;
         }
-        const Duration cost = costOf(candidate, expected, request, costs, now);
+        const bool isDue = isDueForUse(candidate, request, costs, now);
+        if (!isDue && !sample.takes(candidate)) {
+            continue;
+        }
+        const Duration cost = expected + distanceCost(candidate, request, costs)
+                - (isDue ? request.target_ : Duration::zero());
         if (!best || cost < bestCost) {
             best = Placement{ i, false, expected };
             bestCost = cost;
--- a/packages/qz_placement/choice/placement.h
+++ b/packages/qz_placement/choice/placement.h
@@ -59,8 +59,8 @@
     /// A server of the domain that another instance owns: how much of that one's work waits
     /// there is not known here.
     double otherOwner_ = 0.05;
-    double sameRegion_ = 0.15;
-    double otherRegion_ = 0.4;
+    double sameRegion_ = 0.25;
+    double otherRegion_ = 0.45;
     Duration betweenRegions_ = std::chrono::milliseconds(24); ///< Round trip.
     /// A held server that another instance owns is tried by this one at last after this time.
     Duration foreignTrialDelay_ = std::chrono::seconds(8);
@@ -77,6 +77,9 @@
     /// service's servers are in use when many requests come to fail.
     Duration idlePause_ = std::chrono::milliseconds(1300);
     int queuedPerSlot_ = 4; ///< Requests of this instance that may wait at a server, a slot.
+    /// Servers of other owners that are compared, of each distance. If all instances took the
+    /// best of all, they would take the same one, as none sees the others' work.
+    int comparedForeign_ = 3;
 };
 
 struct Placement
@@ -89,7 +92,8 @@
 /// Load pattern: slots suffice on the whole, but a part of the servers fails or is slow at
 /// any time, and the servers of one failure domain alone can be too few. Chooses the server
 /// with the lowest expected answer time plus the cost of distance, out of those in good
-/// health. A server whose trial is due goes first, at the instance that owns its trial; of
+/// health; of the servers of other owners the first few count, so @p candidates are to come in
+/// a random order. A server whose trial is due goes first, at the instance that owns its trial; of
 /// several the longest held. If only held servers are left, the one whose hold ends first is
 /// taken. Empty if no server could answer in the time left.
 ///
--- a/packages/qz_placement/tests/replaytest.cpp
+++ b/packages/qz_placement/tests/replaytest.cpp
@@ -106,3 +106,27 @@
     BOOST_TEST(result.lost_ < result.asked_ * 0.02);
     BOOST_CHECK(result.longestRefusal_ < 100ms);
 }
+
+BOOST_AUTO_TEST_CASE(instancesThatDoNotSeeEachOthersWorkDoNotFillTheSameServers)
+{
+    // Twelve instances before 72 servers of four slots. In the burst 0.55 of the slots work; a
+    // pool that knew all its queues would let nearly nothing wait.
+    ReplayLoad load;
+    load.servers_ = 72;
+    load.slots_ = 4;
+    load.instances_ = 12;
+    load.perSecond_ = 260.0;
+    load.burst_ = 1.5;
+    load.work_ = 400ms;
+    load.target_ = 1s;
+    load.timeout_ = 3s;
+    load.isRepeatable_ = true;
+    load.spellShare_ = 0.3;
+    load.spellLength_ = 6s;
+    load.spellFails_ = 0.75;
+    const ReplayResult result = replay(load);
+    BOOST_TEST_MESSAGE("late " << result.late_ << " lost " << result.lost_ << " refused "
+                               << result.refused_ << " of " << result.asked_);
+    BOOST_TEST(result.late_ < result.asked_ * 0.08);
+    BOOST_TEST(result.lost_ < result.asked_ * 0.02);
+}
--- a/packages/qz_placement/tests/servermodel.h
+++ b/packages/qz_placement/tests/servermodel.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <random>
 #include <vector>
 
@@ -28,6 +29,11 @@
     int slowServers_ = 0;
     double slowFactor_ = 1.0;
     Duration length_ = std::chrono::seconds(30);
+    /// That place requests, each blind to the others' work. Servers are owned in turn and stand
+    /// in the failure domain of their owner.
+    int instances_ = 1;
+    /// In the middle third of the time so many times as much is asked.
+    double burst_ = 1.0;
 };
 
 struct ReplayResult
@@ -64,8 +70,8 @@
     ServerModel(const ReplayLoad &load, unsigned seed)
         : load_(load)
         , random_(seed)
-        , allowance_({ 0.2, 56.0, std::chrono::seconds(10) }, 1.0)
         , servers_(static_cast<std::size_t>(load.servers_))
+        , instances_(static_cast<std::size_t>(load.instances_), Instance(load))
     {
         for (std::size_t i = 0; i < servers_.size(); ++i) {
             servers_[i].factor_ = static_cast<int>(i) < load.slowServers_ ? load.slowFactor_ : 1.0;
@@ -96,17 +102,35 @@
     struct Request
     {
         TimePoint arrivedAt_;
+        std::size_t instance_ = 0;
         std::vector<std::size_t> tried_;
     };
-    struct Server
+    /// What an instance believes of a server.
+    struct View
     {
         ServerHealth health_;
+        std::multimap<TimePoint, int> inFlight_;
+        TimePoint lastSent_{};
+    };
+    struct Instance
+    {
+        explicit Instance(const ReplayLoad &load)
+            : allowance_({ 0.2, 56.0, std::chrono::seconds(10) }, 1.0 / load.instances_)
+            , views_(static_cast<std::size_t>(load.servers_))
+        {
+        }
+
+        RetryAllowance allowance_;
+        ServiceLatency latency_;
+        ServedShare share_;
+        std::vector<View> views_;
+    };
+    struct Server
+    {
         double factor_ = 1.0;
         Duration spellOffset_{};
         std::map<Duration::rep, bool> spells_; ///< By number of the spell.
-        std::multimap<TimePoint, int> inFlight_;
         std::vector<TimePoint> slotFreeAt_;
-        TimePoint lastSent_{};
         TimePoint lastFailed_{};
         bool isUsedInWindow_ = false;
     };
@@ -117,17 +141,26 @@
 
     void at(TimePoint time, std::function<void()> work) { events_.emplace(time, std::move(work)); }
 
+    double rateAt(TimePoint time) const
+    {
+        const bool isBurst =
+                time - start > load_.length_ / 3 && time - start < load_.length_ * 2 / 3;
+        return load_.perSecond_ * (isBurst ? load_.burst_ : 1.0);
+    }
+
     void scheduleArrivals()
     {
-        std::exponential_distribution<double> gap(load_.perSecond_);
         TimePoint time = start;
         while (time < start + load_.length_) {
+            std::exponential_distribution<double> gap(rateAt(time));
             time += std::chrono::duration_cast<Duration>(
                     std::chrono::duration<double>(gap(random_)));
             at(time, [this, time] {
                 ++result_.asked_;
-                allowance_.countRequest(now_);
-                place(std::make_shared<Request>(Request{ time, {} }));
+                std::uniform_int_distribution<std::size_t> any(0, instances_.size() - 1);
+                const std::size_t instance = any(random_);
+                instances_[instance].allowance_.countRequest(now_);
+                place(std::make_shared<Request>(Request{ time, instance, {} }));
             });
         }
     }
@@ -144,34 +177,46 @@
 
     PlacementRequest makeRequest(const Request &request)
     {
+        Instance &instance = instances_[request.instance_];
         PlacementRequest made;
         made.isRepeatable_ = load_.isRepeatable_;
         made.target_ = load_.target_;
         made.timeLeft_ = request.arrivedAt_ + load_.timeout_ - now_;
-        made.expected_ = latency_.mean(load_.target_);
-        made.isCrowded_ = latency_.isCrowded();
-        made.isSpread_ = share_.unserved(now_) > PlacementRequest::spreadLevel_;
+        made.expected_ = instance.latency_.mean(load_.target_);
+        made.isCrowded_ = instance.latency_.isCrowded();
+        made.isSpread_ = instance.share_.unserved(now_) > PlacementRequest::spreadLevel_;
         return made;
     }
 
+    PlacementCandidate makeCandidate(const Request &request, std::size_t server) const
+    {
+        const Instance &instance = instances_[request.instance_];
+        const View &view = instance.views_[server];
+        const bool isOwner = server % instances_.size() == request.instance_;
+        PlacementCandidate candidate;
+        candidate.duty_ = isOwner ? ServerDuty::Owner : ServerDuty::None;
+        candidate.distance_ = isOwner ? Distance::SameDomain : Distance::SameRegion;
+        candidate.state_ = view.health_.state(now_);
+        candidate.heldUntil_ = view.health_.heldUntil();
+        candidate.heldSince_ = view.health_.heldSince();
+        candidate.lastSent_ = view.lastSent_;
+        candidate.slots_ = load_.slots_;
+        candidate.inFlight_ = static_cast<int>(view.inFlight_.size());
+        candidate.slowness_ = view.health_.slowness(instance.latency_.mean(load_.target_));
+        candidate.oldestWait_ =
+                view.inFlight_.empty() ? Duration::zero() : now_ - view.inFlight_.begin()->first;
+        candidate.isTried_ = std::count(request.tried_.begin(), request.tried_.end(), server) > 0;
+        return candidate;
+    }
+
     void place(const RequestPtr &request)
     {
+        std::vector<std::size_t> order(servers_.size());
+        std::iota(order.begin(), order.end(), std::size_t(0));
+        std::shuffle(order.begin(), order.end(), random_);
         std::vector<PlacementCandidate> candidates;
-        for (std::size_t i = 0; i < servers_.size(); ++i) {
-            const Server &server = servers_[i];
-            PlacementCandidate candidate;
-            candidate.state_ = server.health_.state(now_);
-            candidate.heldUntil_ = server.health_.heldUntil();
-            candidate.heldSince_ = server.health_.heldSince();
-            candidate.lastSent_ = server.lastSent_;
-            candidate.slots_ = load_.slots_;
-            candidate.inFlight_ = static_cast<int>(server.inFlight_.size());
-            candidate.slowness_ = server.health_.slowness(latency_.mean(load_.target_));
-            candidate.oldestWait_ = server.inFlight_.empty()
-                    ? Duration::zero()
-                    : now_ - server.inFlight_.begin()->first;
-            candidate.isTried_ = std::count(request->tried_.begin(), request->tried_.end(), i) > 0;
-            candidates.push_back(candidate);
+        for (const std::size_t server : order) {
+            candidates.push_back(makeCandidate(*request, server));
         }
         const auto placement = choosePlacement(candidates, makeRequest(*request), {}, now_);
         if (!placement) {
@@ -182,7 +227,7 @@
             }
             return;
         }
-        send(request, placement->index_);
+        send(request, order[placement->index_]);
     }
 
     void send(const RequestPtr &request, std::size_t index)
@@ -190,10 +235,11 @@
         Server &server = servers_[index];
         request->tried_.push_back(index);
         ++result_.sent_;
-        server.lastSent_ = now_;
+        View &view = instances_[request->instance_].views_[index];
+        view.lastSent_ = now_;
         server.isUsedInWindow_ = true;
         const TimePoint sentAt = now_;
-        server.inFlight_.emplace(sentAt, 0);
+        view.inFlight_.emplace(sentAt, 0);
         if (isInSpell(server) && std::bernoulli_distribution(load_.spellFails_)(random_)) {
             at(now_ + std::chrono::milliseconds(2),
                [this, request, index, sentAt] { fail(request, index, sentAt, TryResult::Cut); });
@@ -215,20 +261,32 @@
         at(*slot, [this, request, index, sentAt] { succeed(request, index, sentAt); });
     }
 
-    void finishTry(std::size_t index, TimePoint sentAt, TryResult result)
+    void finishTry(const Request &request, std::size_t index, TimePoint sentAt, TryResult result)
     {
-        Server &server = servers_[index];
-        server.inFlight_.erase(server.inFlight_.find(sentAt));
-        server.health_.record(result, now_ - sentAt, load_.isRepeatable_, now_);
+        View &view = instances_[request.instance_].views_[index];
+        view.inFlight_.erase(view.inFlight_.find(sentAt));
+        const bool isHeld = view.health_.record(result, now_ - sentAt, load_.isRepeatable_, now_);
+        const bool isRecovered = view.health_.state(now_) == ServerHealth::State::Good;
+        for (Instance &other : instances_) {
+            ServerHealth &health = other.views_[index].health_;
+            if (&health == &view.health_) {
+                continue;
+            }
+            if (isHeld && isOfServer(result)) {
+                health.adoptHold(view.health_.heldUntil() - now_, now_);
+            } else if (isRecovered && health.state(now_) != ServerHealth::State::Good) {
+                health.adoptRecovery(now_);
+            }
+        }
     }
 
     void fail(const RequestPtr &request, std::size_t index, TimePoint sentAt, TryResult result)
     {
-        finishTry(index, sentAt, result);
+        finishTry(*request, index, sentAt, result);
         servers_[index].lastFailed_ = now_;
         const bool mayRetry = load_.isRepeatable_ && result == TryResult::Cut
                 && static_cast<int>(request->tried_.size()) < load_.maxAttempts_
-                && allowance_.take(now_);
+                && instances_[request->instance_].allowance_.take(now_);
         if (mayRetry) {
             place(request);
         } else {
@@ -238,16 +296,16 @@
 
     void succeed(const RequestPtr &request, std::size_t index, TimePoint sentAt)
     {
-        finishTry(index, sentAt, TryResult::Answered);
-        latency_.record(now_ - sentAt, now_);
+        finishTry(*request, index, sentAt, TryResult::Answered);
+        instances_[request->instance_].latency_.record(now_ - sentAt, now_);
         result_.late_ += now_ - request->arrivedAt_ > load_.target_ ? 1 : 0;
         end(*request, result_.served_, true);
     }
 
-    void end(const Request & /*request*/, int &counter, bool isServed)
+    void end(const Request &request, int &counter, bool isServed)
     {
         ++counter;
-        share_.record(isServed, now_);
+        instances_[request.instance_].share_.record(isServed, now_);
         ++windowEnds_;
         windowUnserved_ += isServed ? 0 : 1;
     }
@@ -272,10 +330,8 @@
 
     const ReplayLoad load_;
     std::mt19937 random_;
-    RetryAllowance allowance_;
-    ServiceLatency latency_;
-    ServedShare share_;
     std::vector<Server> servers_;
+    std::vector<Instance> instances_;
     std::multimap<TimePoint, std::function<void()>> events_;
     TimePoint now_ = start;
     ReplayResult result_;
