--- a/apps/quetzaldaled/serve/servedaemon.cpp
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -17,6 +17,9 @@
 using namespace std::chrono_literals;
 
 constexpr Duration tickPeriod = 1s;
+/// Requests that come right after a start wait so long for the configuration and the list of
+/// servers, which take a few tenths of a second. Callers have a second to be read.
+constexpr Duration startWait = 900ms;
 constexpr Duration rolePeriod = 200ms; ///< Checks who takes callers and who reads the store.
 constexpr Duration stopCheckPeriod = 100ms;
 /// Left of the stop limit for the last answers to reach their callers.
@@ -83,6 +86,7 @@
         return exitCannotListen;
     }
     watchSignals();
+    forwarder_.startWaiting(startWait);
     presence_.start();
     replicas_.start();
     platform_.start();
@@ -196,6 +200,9 @@
 
 void ServeDaemon::updateState()
 {
+    if (isReady()) {
+        forwarder_.endWaiting();
+    }
     presence_.setState({ isReady(), platform_.isStoreLost() });
 }
 
--- a/packages/qz_forward/run/forwarder.cpp
+++ b/packages/qz_forward/run/forwarder.cpp
@@ -4,10 +4,18 @@
 #include "qz_core/logging/logger.h"
 #include "qz_forward/run/forwardrun.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace qz {
 
+namespace {
+
+/// Requests that wait after a start; a few kilobytes each.
+constexpr std::size_t waitingLimit = 500;
+
+} // namespace
+
 Forwarder::Forwarder(EventLoop &loop, ForwardSettings settings, BackendTable &backends,
                      ForwardMetrics &metrics)
     : loop_(loop)
@@ -33,12 +41,29 @@
     return allowances_.try_emplace(service, settings_.retryBudget_, slackPart_).first->second;
 }
 
+void Forwarder::startWaiting(Duration limit)
+{
+    waitEnd_ = loop_.callAfter(limit, [this] { endWaiting(); });
+}
+
+void Forwarder::endWaiting()
+{
+    waitEnd_.reset();
+    for (ForwardRun *run : std::exchange(waiting_, {})) {
+        run->start();
+    }
+}
+
 void Forwarder::handle(const std::shared_ptr<CallerExchange> &exchange)
 {
-    auto run = std::make_unique<ForwardRun>(*this, exchange, routes_);
-    ForwardRun &started = *run;
-    runs_.emplace(run.get(), std::move(run));
-    started.start();
+    auto owned = std::make_unique<ForwardRun>(*this, exchange);
+    ForwardRun &run = *owned;
+    runs_.emplace(&run, std::move(owned));
+    if (waitEnd_ != nullptr && waiting_.size() < waitingLimit) {
+        waiting_.push_back(&run);
+    } else {
+        run.start();
+    }
 }
 
 ServerDuty Forwarder::dutyFor(const Backend &server) const
@@ -82,6 +107,7 @@
 void Forwarder::dropLater(ForwardRun *run)
 {
     ended_.insert(run);
+    waiting_.erase(std::remove(waiting_.begin(), waiting_.end(), run), waiting_.end());
     if (drop_ == nullptr) {
         drop_ = loop_.callAfter(Duration::zero(), [this] {
             drop_.reset();
--- a/packages/qz_forward/run/forwarder.h
+++ b/packages/qz_forward/run/forwarder.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <random>
 #include <set>
+#include <vector>
 
 namespace qz {
 
@@ -61,6 +62,11 @@
     /// This instance's part of the slack of retry budgets. @see RetryAllowance
     void setSlackPart(double slackPart);
 
+    /// Requests that come from now on wait for endWaiting(), or until @p limit has passed: the
+    /// instance has just started, and routes and servers are on their way.
+    void startWaiting(Duration limit);
+    void endWaiting();
+
     void handle(const std::shared_ptr<CallerExchange> &exchange);
 
     std::size_t runningCount() const { return runs_.size(); }
@@ -97,7 +103,9 @@
     DutyFinder dutyFinder_;
     std::mt19937_64 random_;
     std::map<ForwardRun *, std::unique_ptr<ForwardRun>> runs_;
-    std::set<ForwardRun *> ended_; ///< Dropped on the loop's next turn.
+    std::vector<ForwardRun *> waiting_; ///< In runs_, not started.
+    Timers::HandlePtr waitEnd_;         ///< Set while requests wait.
+    std::set<ForwardRun *> ended_;      ///< Dropped on the loop's next turn.
     Timers::HandlePtr drop_;
 };
 
--- a/packages/qz_forward/run/forwardrun.cpp
+++ b/packages/qz_forward/run/forwardrun.cpp
@@ -61,11 +61,9 @@
 
 } // namespace
 
-ForwardRun::ForwardRun(Forwarder &forwarder, std::shared_ptr<CallerExchange> exchange,
-                       std::shared_ptr<const RoutingTable> routes)
+ForwardRun::ForwardRun(Forwarder &forwarder, std::shared_ptr<CallerExchange> exchange)
     : forwarder_(forwarder)
     , exchange_(std::move(exchange))
-    , routes_(std::move(routes))
 {
     exchange_->setListener(this);
 }
@@ -78,6 +76,7 @@
 
 void ForwardRun::start()
 {
+    routes_ = forwarder_.routes();
     const auto id = exchange_->head().headers_.find(forwarder_.settings().headers_.requestId_);
     requestId_ = id.value_or("");
     if (!findRoute() || !readDeadline() || !takeRequestBody()) {
@@ -174,6 +173,9 @@
 
 void ForwardRun::takeMoreBody()
 {
+    if (routes_ == nullptr) {
+        return; // It waits to be started, which takes the body as far as it is here then.
+    }
     if (streamedBytes_ + exchange_->body().size() > routes_->limits().bodyBytes_) {
         fail(failure(ErrorKind::RequestTooLarge, "the body is too large"));
         return;
--- a/packages/qz_forward/run/forwardrun.h
+++ b/packages/qz_forward/run/forwardrun.h
@@ -26,10 +26,10 @@
 class ForwardRun : private CallerExchangeListener
 {
 public:
-    ForwardRun(Forwarder &forwarder, std::shared_ptr<CallerExchange> exchange,
-               std::shared_ptr<const RoutingTable> routes);
+    ForwardRun(Forwarder &forwarder, std::shared_ptr<CallerExchange> exchange);
     ~ForwardRun() override;
 
+    /// Finds the route among those that are in force now, and places the request.
     void start();
 
     // For ForwardTry.
@@ -76,8 +76,8 @@
 
     Forwarder &forwarder_;
     const std::shared_ptr<CallerExchange> exchange_;
-    const std::shared_ptr<const RoutingTable> routes_; ///< Of the time of arrival.
-    const RequestRoute *route_ = nullptr;              ///< In routes_.
+    std::shared_ptr<const RoutingTable> routes_; ///< Of the time of the start; null before.
+    const RequestRoute *route_ = nullptr;        ///< In routes_.
     ServiceId service_;
     std::string requestId_;
     std::string body_; ///< The body, or its start if it is streamed.
--- a/packages/qz_forward/tests/forwardertest.cpp
+++ b/packages/qz_forward/tests/forwardertest.cpp
@@ -151,6 +151,38 @@
     BOOST_TEST(statusOf(fixture.ask()) == 200);
 }
 
+BOOST_AUTO_TEST_CASE(requestsThatComeRightAfterAStartWaitForTheConfiguration)
+{
+    Fixture fixture;
+    fixture.addServer("a", answering(goodAnswer));
+    fixture.forwarder_.startWaiting(1s);
+    BOOST_TEST(fixture.ask(100ms).empty());
+    BOOST_TEST(fixture.forwarder_.runningCount() == 1);
+    fixture.setRoute(false);
+    fixture.forwarder_.endWaiting();
+    fixture.loop_.runFor(200ms);
+    BOOST_TEST(statusOf(fixture.client_->received()) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(whatCannotBeServedAfterTheWaitIsRefusedAndLaterAtOnce)
+{
+    Fixture fixture;
+    fixture.forwarder_.startWaiting(100ms);
+    BOOST_TEST(statusOf(fixture.ask(200ms)) == 503);
+    BOOST_TEST(statusOf(fixture.ask(50ms)) == 503);
+}
+
+BOOST_AUTO_TEST_CASE(aCallerThatLeavesWhileItsRequestWaitsIsForgotten)
+{
+    Fixture fixture;
+    fixture.forwarder_.startWaiting(1s);
+    fixture.ask(50ms);
+    fixture.client_->close();
+    fixture.loop_.runFor(50ms);
+    BOOST_TEST(fixture.forwarder_.runningCount() == 0);
+    fixture.forwarder_.endWaiting();
+}
+
 BOOST_AUTO_TEST_CASE(nonRepeatableWorkIsNeverSentAgainAfterAReset)
 {
     Fixture fixture;
--- a/packages/qz_presence/directory/instancedirectory.cpp
+++ b/packages/qz_presence/directory/instancedirectory.cpp
@@ -144,13 +144,14 @@
 
 std::vector<InstanceRecord> InstanceDirectory::neighbours() const
 {
-    std::vector<InstanceRecord> found;
+    std::vector<std::string> ids;
     for (const auto &[id, known] : others_) {
         if (known.record_.location_.failureDomain_ == self_.location_.failureDomain_) {
-            found.push_back(known.record_);
+            ids.push_back(id);
         }
     }
-    return found;
+    const std::size_t count = ids.size();
+    return firstOf(self_.location_.failureDomain_.value(), std::move(ids), count);
 }
 
 std::vector<InstanceRecord> InstanceDirectory::remoteEntries() const
--- a/packages/qz_presence/directory/instancedirectory.h
+++ b/packages/qz_presence/directory/instancedirectory.h
@@ -85,7 +85,7 @@
     /// come before it.
     std::optional<std::size_t> readerRank(TimePoint now) const;
 
-    /// The other instances of this failure domain.
+    /// The other instances of this failure domain, in the order in which they take callers.
     std::vector<InstanceRecord> neighbours() const;
 
     /// Of each other failure domain, the entries if all its instances are live.
--- a/packages/qz_replica/exchange/replicaexchange.cpp
+++ b/packages/qz_replica/exchange/replicaexchange.cpp
@@ -4,6 +4,7 @@
 #include "qz_core/logging/logger.h"
 #include "qz_fleet/messages/packing.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace qz {
@@ -14,6 +15,14 @@
 /// the store has failed.
 constexpr Duration ownReadTime = std::chrono::milliseconds(700);
 
+/// An answer to a request for a table takes this long at most where the link is slow.
+constexpr Duration requestPause = std::chrono::milliseconds(500);
+
+/// What an instance sends to all neighbours at once, in bytes: a fifth of a second of the
+/// slowest links. Of longer tables the others get theirs from the first receivers.
+constexpr std::size_t broadcastLimitBytes = std::size_t(256) * 1024;
+constexpr std::size_t firstReceivers = 3;
+
 } // namespace
 
 ReplicaExchange::ReplicaExchange(EventLoop &loop, PeerLinks &links,
@@ -33,7 +42,7 @@
 
 void ReplicaExchange::addTable(const std::string &table, UpdateHandler handler)
 {
-    tables_.emplace(table, Table{ TableReplica(table), std::move(handler) });
+    tables_.emplace(table, Table{ TableReplica(table), std::move(handler), {} });
 }
 
 void ReplicaExchange::start()
@@ -71,9 +80,13 @@
 void ReplicaExchange::sendToNeighbours(const TableUpdate &update)
 {
     const std::string message = packMessage(update);
-    for (const InstanceRecord &neighbour : directory_.neighbours()) {
-        // One that is missed sees in the presence that it is behind.
-        (void)links_.send(neighbour.id_, MessageKind::TableUpdate, message);
+    auto receivers = directory_.neighbours();
+    if (update.isWhole_ && message.size() * receivers.size() > broadcastLimitBytes) {
+        receivers.resize(std::min(receivers.size(), firstReceivers));
+    }
+    for (const InstanceRecord &receiver : receivers) {
+        // One that is left out or missed sees in the presence that it is behind.
+        (void)links_.send(receiver.id_, MessageKind::TableUpdate, message);
     }
 }
 
@@ -106,8 +119,10 @@
 {
     for (const auto &[name, version] : versions) {
         const auto found = tables_.find(name);
-        if (found != tables_.end() && version > found->second.replica_.version()) {
-            // Asked again with the next presence if it is lost.
+        if (found != tables_.end() && version > found->second.replica_.version()
+            && loop_.now() - found->second.requestedAt_ >= requestPause) {
+            found->second.requestedAt_ = loop_.now();
+            // Asked again with a later presence if it is lost.
             (void)links_.send(
                     from, MessageKind::TableRequest,
                     packMessage(TableRequestMessage{ name, found->second.replica_.version() }));
--- a/packages/qz_replica/exchange/replicaexchange.h
+++ b/packages/qz_replica/exchange/replicaexchange.h
@@ -34,7 +34,9 @@
 
 /// Keeps the replicas of an instance. What one instance has read from the store it sends to
 /// its neighbours at once; an instance that sees in another's presence that it is behind,
-/// because a message was lost or because it has just started, asks for the whole table.
+/// because a message was lost or because it has just started, asks for the whole table. A long
+/// table goes to a few neighbours first, those that callers are sent to, and from them to the
+/// others.
 ///
 /// The readers of other failure domains are told the version only, since they read the store
 /// themselves; one that is still behind a moment later, because its own way to the store has
@@ -69,6 +71,7 @@
     {
         TableReplica replica_;
         UpdateHandler handler_;
+        TimePoint requestedAt_{}; ///< From another instance, as a whole.
     };
     /// What an instance of another failure domain has of a table.
     struct RemoteVersion
--- a/packages/qz_replica/tests/replicatest.cpp
+++ b/packages/qz_replica/tests/replicatest.cpp
@@ -81,6 +81,32 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_CASE(aLongTableReachesAllThroughAFewAndIsAskedForOnce)
+{
+    qz::EventLoop loop;
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::vector<Node *> all;
+    for (int i = 0; i < 8; ++i) {
+        nodes.push_back(std::make_unique<Node>(loop, "n" + std::to_string(i), "d"));
+        all.push_back(nodes.back().get());
+    }
+    introduce(all);
+    for (Node *node : all) {
+        node->presence_->start();
+    }
+    loop.runFor(200ms);
+    std::vector<qz::ReplicaRow> rows;
+    for (int i = 0; i < 400; ++i) {
+        rows.push_back({ "k" + std::to_string(i), std::string(250, 'v'), false });
+    }
+    all[0]->replicas_->publish(makeWhole(7, rows));
+    loop.runFor(1500ms);
+    for (const Node *node : all) {
+        BOOST_TEST(node->replicas_->version("t") == 7);
+        BOOST_TEST(node->updates_ == 1);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(instancesThatKnowDifferentOnesTellEachOtherAllOfTheirs)
 {
     qz::EventLoop loop;
