--- a/packages/qz_placement/choice/placement.h
+++ b/packages/qz_placement/choice/placement.h
@@ -60,7 +60,7 @@
     /// there is not known here.
     double otherOwner_ = 0.05;
     double sameRegion_ = 0.25;
-    double otherRegion_ = 0.45;
+    double otherRegion_ = 0.6;
     Duration betweenRegions_ = std::chrono::milliseconds(24); ///< Round trip.
     /// A held server that another instance owns is tried by this one at last after this time.
     Duration foreignTrialDelay_ = std::chrono::seconds(8);
