Add a soak: instances as processes under load with faults from outside them

Kills, pauses, stops, SIGHUPs, relays that delay, reset, cut one way or silence connections to backend servers and to the store, servers that fail or leave, a store that refuses, is silent, resets or forgets its history; in series and overlapping, by seed. Checked: own whole answers, runs at most once, promises of not run, leaving servers, planned stops, configurations in force in time and never reverting, processes that end by themselves, recovery.

--- a/apps/quetzaldaled/serve/servedaemon.cpp
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -3,6 +3,7 @@
 
 #include "platform/decoding/directoryanswer.h"
 #include "platform/platformnames.h"
+#include "qz_core/faults/faultpoint.h"
 #include "qz_core/ids/randomid.h"
 #include "qz_core/logging/logger.h"
 
@@ -242,6 +243,10 @@
     stoppingSince_ = loop_.now();
     log(LogLevel::Info, "stopping", { { "running_requests", forwarder_.runningCount() } });
     updateState();
+    if (isFaultInjected(FaultPoint::DrainSkipped)) {
+        loop_.stop();
+        return;
+    }
     callers_.startClosing();
     handles_.push_back(loop_.callEvery(stopCheckPeriod, [this] { checkStopped(); }));
 }
--- a/packages/qz_core/faults/faultpoint.h
+++ b/packages/qz_core/faults/faultpoint.h
@@ -14,6 +14,7 @@
     LeavingIgnored,  ///< A leaving backend server still gets work.
     DrainSkipped,    ///< A planned stop ends at once.
     RulesFrozen,     ///< A newer version of the rules is not taken over.
+    OnceResent,      ///< A non-repeatable request that was cut is sent to another server.
 };
 
 /// Whether the rule is to be broken. Always false in the shipped programs, which link the
--- a/packages/qz_forward/backends/backend.cpp
+++ b/packages/qz_forward/backends/backend.cpp
@@ -1,6 +1,8 @@
 // Idle connections and unanswered requests of a backend server.
 #include "qz_forward/backends/backend.h"
 
+#include "qz_core/faults/faultpoint.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -25,6 +27,11 @@
 {
 }
 
+bool Backend::isOpen() const
+{
+    return isListed_ && (!listed_.isDraining_ || isFaultInjected(FaultPoint::LeavingIgnored));
+}
+
 void Backend::close()
 {
     isListed_ = false;
--- a/packages/qz_forward/backends/backend.h
+++ b/packages/qz_forward/backends/backend.h
@@ -41,7 +41,7 @@
     void update(const ListedBackend &listed) { listed_ = listed; }
 
     /// Listed and not leaving: it may get new work.
-    bool isOpen() const { return isListed_ && !listed_.isDraining_; }
+    bool isOpen() const;
     /// It has left the list.
     void close();
 
--- a/packages/qz_forward/run/forwardrun.cpp
+++ b/packages/qz_forward/run/forwardrun.cpp
@@ -1,6 +1,7 @@
 // The course of one request.
 #include "qz_forward/run/forwardrun.h"
 
+#include "qz_core/faults/faultpoint.h"
 #include "qz_core/logging/logger.h"
 
 #include <algorithm>
@@ -404,7 +405,7 @@
         return;
     }
     mayHaveRun_ = true;
-    if (route_->isRepeatable_) {
+    if (route_->isRepeatable_ || isFaultInjected(FaultPoint::OnceResent)) {
         tryAgainOrFail(error);
     } else {
         fail(error);
@@ -522,7 +523,7 @@
 void ForwardRun::fail(const Error &error)
 {
     endOtherTries(TryResult::Cancelled);
-    const bool isNotRun = !mayHaveRun_;
+    const bool isNotRun = !mayHaveRun_ || isFaultInjected(FaultPoint::NotRunGuessed);
     ErrorKind kind = error.kind_;
     if (isNotRun && kind == ErrorKind::BackendTimeout) {
         kind = ErrorKind::DeadlineUnreachable;
--- a/packages/qz_http/stream/httpcaller.cpp
+++ b/packages/qz_http/stream/httpcaller.cpp
@@ -58,7 +58,9 @@
     head.method_ = request_.method_;
     head.target_ = request_.target_;
     head.headers_ = request_.headers_;
-    head.headers_.set("Host", toString(server_));
+    if (!head.headers_.find("Host")) {
+        head.headers_.set("Host", toString(server_));
+    }
     if (!request_.body_.empty()) {
         head.framing_ = BodyFraming::Length;
         head.length_ = request_.body_.size();
--- /dev/null
+++ b/tests/soak/soakcallers.cpp
@@ -0,0 +1,247 @@
+// Requests of callers, one by one, and their checks.
+#include "soak/soakcallers.h"
+
+#include "platform/platformnames.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace qz::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// What callers wait for an answer.
+constexpr Duration deadline = 4s;
+/// Instances answer by the deadline; one that does not is noticed a moment later.
+constexpr Duration patience = deadline + 1s;
+constexpr Duration longestIdle = 3s;
+constexpr int repeatableEvery = 2;
+constexpr int withBodyEvery = 3;
+
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+/// One request over one connection.
+class SoakCallers::Call : private BackendConnectionListener
+{
+public:
+    Call(SoakCallers &callers, const Endpoint &endpoint, int number)
+        : callers_(callers)
+        , endpoint_(endpoint)
+        , id_(callers.prefix_ + std::to_string(number))
+        , isOnce_(number % repeatableEvery == 0)
+        , target_(std::string(isOnce_ ? "/once/" : "/safe/") + std::to_string(number))
+        , body_(isOnce_ && number % withBodyEvery == 0 ? std::string(100, 'b') : "")
+        , sentAt_(callers.loop_.now())
+        , connection_(callers.takeIdle(endpoint))
+    {
+        timeout_ = callers.loop_.callAfter(patience, [this] { finish(0, "no answer in time"); });
+        if (connection_ != nullptr) {
+            connection_->setListener(this);
+            send();
+            return;
+        }
+        connection_ = std::make_unique<BackendConnection>(callers.loop_, endpoint, patience);
+        connection_->setListener(this);
+    }
+    ~Call() override = default;
+
+    const std::string &id() const { return id_; }
+    bool isOnce() const { return isOnce_; }
+    const Endpoint &endpoint() const { return endpoint_; }
+    TimePoint sentAt() const { return sentAt_; }
+    bool wasSent() const { return wasSent_; }
+    int status() const { return status_; }
+    const std::string &problem() const { return problem_; }
+    std::unique_ptr<BackendConnection> takeConnection() { return std::move(connection_); }
+
+private:
+    void send()
+    {
+        const ForwardHeaders names = platform::makeForwardHeaders();
+        HttpHead head;
+        head.method_ = body_.empty() ? "GET" : "POST";
+        head.target_ = target_;
+        head.headers_.add("Host", "h");
+        head.headers_.add(names.requestId_, id_);
+        head.headers_.add(
+                names.deadline_,
+                std::to_string(
+                        std::chrono::duration_cast<std::chrono::milliseconds>(deadline).count()));
+        if (!body_.empty()) {
+            head.framing_ = BodyFraming::Length;
+            head.length_ = body_.size();
+        }
+        wasSent_ = true;
+        connection_->sendHead(head);
+        connection_->sendBody(body_);
+        connection_->endRequest();
+    }
+
+    void takeConnected() override { send(); }
+    void takeAnswerHead(HttpHead head) override { answerHead_ = std::move(head); }
+    void takeAnswerBody(std::string_view data) override { answer_.append(data); }
+    void takeSendDrained() override { }
+    void takeFailure(const Error &error) override { finish(0, error.message_); }
+
+    void takeAnswerEnd() override
+    {
+        const ForwardHeaders names = platform::makeForwardHeaders();
+        const int status = answerHead_.status_;
+        if (status == 200) {
+            const bool isWhole = answer_ == SoakServer::makeBody(id_, target_);
+            const bool isSealed = answerHead_.headers_.find(names.seal_) == "seal-" + id_;
+            if (!isWhole || !isSealed) {
+                callers_.reporter_("MIXED: request " + id_ + " got another body or seal, "
+                                   + std::to_string(answer_.size()) + " bytes");
+            }
+        }
+        finish(status, "");
+    }
+
+    void finish(int status, const std::string &problem)
+    {
+        status_ = status;
+        problem_ = problem;
+        timeout_.reset();
+        if (status == 0) {
+            connection_->setListener(nullptr);
+        }
+        callers_.end(*this);
+    }
+
+    SoakCallers &callers_;
+    const Endpoint endpoint_;
+    const std::string id_;
+    const bool isOnce_;
+    const std::string target_;
+    const std::string body_;
+    const TimePoint sentAt_;
+    std::unique_ptr<BackendConnection> connection_;
+    HttpHead answerHead_;
+    std::string answer_;
+    std::string problem_;
+    int status_ = 0; ///< Zero: no answer.
+    bool wasSent_ = false;
+    Timers::HandlePtr timeout_;
+};
+
+SoakCallers::SoakCallers(EventLoop &loop, const RunLedger &ledger, AddressFinder finder,
+                         CutExcuse excuse, Reporter reporter, std::uint64_t seed)
+    : loop_(loop)
+    , ledger_(ledger)
+    , finder_(std::move(finder))
+    , excuse_(std::move(excuse))
+    , reporter_(std::move(reporter))
+    , prefix_(std::to_string(seed) + "-")
+    , random_(seed)
+{
+}
+
+SoakCallers::~SoakCallers() = default;
+
+void SoakCallers::start(Duration period)
+{
+    timer_ = loop_.callEvery(period, [this] { sendOne(); });
+}
+
+void SoakCallers::stop()
+{
+    timer_.reset();
+}
+
+void SoakCallers::sendOne()
+{
+    const Endpoint endpoint = finder_();
+    if (endpoint.host_.empty()) {
+        return;
+    }
+    ++tally_.sent_;
+    auto call = std::make_unique<Call>(*this, endpoint, ++lastNumber_);
+    if (call->isOnce()) {
+        onceIds_.insert(call->id());
+    }
+    calls_.emplace(call.get(), std::move(call));
+}
+
+std::unique_ptr<BackendConnection> SoakCallers::takeIdle(const Endpoint &endpoint)
+{
+    auto &kept = idle_[endpoint];
+    while (!kept.empty()) {
+        auto connection = std::move(kept.back());
+        kept.pop_back();
+        if (connection->isReusable() && loop_.now() - connection->idleSince() < longestIdle) {
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+void SoakCallers::end(Call &call)
+{
+    const bool hasRun = ledger_.runs_.count(call.id()) > 0;
+    const std::string described =
+            "request " + call.id() + " at " + toString(call.endpoint()) + ", " + call.problem();
+    if (call.status() == 200) {
+        ++tally_.answered_;
+    } else if (promisesNotRun(call.status())) {
+        ++tally_.notRun_;
+        notRunIds_.insert(call.id());
+    } else if (call.status() != 0) {
+        ++tally_.unknown_;
+    } else {
+        ++tally_.cut_;
+        if (call.wasSent() && hasRun && !excuse_(call.endpoint(), call.sentAt())) {
+            reporter_("LOST: " + described);
+        }
+    }
+    ends_.push_back({ call.sentAt(), call.status() == 200 });
+    if (call.status() != 0) {
+        auto connection = call.takeConnection();
+        connection->setListener(nullptr);
+        if (connection->isReusable()) {
+            idle_[call.endpoint()].push_back(std::move(connection));
+        }
+    }
+    const auto found = calls_.find(&call);
+    if (found == calls_.end()) {
+        return; // It failed while it was made; sendOne() would keep it.
+    }
+    ended_.push_back(std::move(found->second));
+    calls_.erase(found);
+    drop_ = loop_.callAfter(Duration::zero(), [this] { ended_.clear(); });
+}
+
+std::pair<int, int> SoakCallers::servedSince(TimePoint from) const
+{
+    int ended = 0;
+    int answered = 0;
+    for (const End &end : ends_) {
+        if (end.sentAt_ >= from) {
+            ++ended;
+            answered += end.isAnswered_ ? 1 : 0;
+        }
+    }
+    return { ended, answered };
+}
+
+void SoakCallers::checkLedger()
+{
+    for (const auto &[id, runs] : ledger_.runs_) {
+        if (runs > 1 && onceIds_.count(id) > 0) {
+            reporter_("TWICE: request " + id + " ran " + std::to_string(runs) + " times");
+        }
+        // A repeatable one may run at a server that was given up; its promise is checked alike.
+        if (notRunIds_.count(id) > 0) {
+            reporter_("REFUSED: request " + id + " was told as not run and has run");
+        }
+    }
+}
+
+} // namespace qz::testing
--- /dev/null
+++ b/tests/soak/soakcallers.h
@@ -0,0 +1,84 @@
+// The callers of a soak run and what they check.
+#pragma once
+
+#include "qz_http/stream/backendconnection.h"
+#include "soak/soakservers.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace qz::testing {
+
+/// How requests ended.
+struct SoakTally
+{
+    int sent_ = 0;
+    int answered_ = 0;
+    int notRun_ = 0;  ///< Told with a status that promises it.
+    int unknown_ = 0; ///< Told as failed without a promise, or not told in time.
+    int cut_ = 0;     ///< The connection ended without an answer.
+};
+
+/// Sends requests at a steady rate over kept connections, to whatever address it is told, and
+/// checks each answer: it is the whole one to this request, or says that there is none. What
+/// was told as not run must not have run, and must not run later.
+class SoakCallers
+{
+public:
+    /// Where the next request goes; empty host: nowhere.
+    using AddressFinder = std::function<Endpoint()>;
+    using Reporter = std::function<void(const std::string &violation)>;
+    /// Whether a connection to this address may end without an answer.
+    using CutExcuse = std::function<bool(const Endpoint &endpoint, TimePoint sentAt)>;
+
+    SoakCallers(EventLoop &loop, const RunLedger &ledger, AddressFinder finder, CutExcuse excuse,
+                Reporter reporter, std::uint64_t seed);
+    ~SoakCallers();
+
+    void start(Duration period);
+    void stop();
+    std::size_t runningCount() const { return calls_.size(); }
+
+    const SoakTally &tally() const { return tally_; }
+    /// Requests sent since @p from that have ended, and those answered among them.
+    std::pair<int, int> servedSince(TimePoint from) const;
+
+    /// Checks the ledger at the end: what must run at most once, or not at all.
+    void checkLedger();
+
+private:
+    class Call;
+    struct End
+    {
+        TimePoint sentAt_;
+        bool isAnswered_;
+    };
+    void sendOne();
+    void end(Call &call);
+    std::unique_ptr<BackendConnection> takeIdle(const Endpoint &endpoint);
+
+    EventLoop &loop_;
+    const RunLedger &ledger_;
+    const AddressFinder finder_;
+    const CutExcuse excuse_;
+    const Reporter reporter_;
+    const std::string prefix_; ///< Of the ids of this run's requests.
+    std::mt19937_64 random_;
+    SoakTally tally_;
+    std::vector<End> ends_;
+    std::map<Call *, std::unique_ptr<Call>> calls_;
+    std::vector<std::unique_ptr<Call>> ended_; ///< Dropped on the loop's next turn.
+    std::map<Endpoint, std::vector<std::unique_ptr<BackendConnection>>> idle_;
+    std::set<std::string> onceIds_;   ///< Must run at most once.
+    std::set<std::string> notRunIds_; ///< Were told as not run.
+    int lastNumber_ = 0;
+    Timers::HandlePtr timer_;
+    Timers::HandlePtr drop_;
+};
+
+} // namespace qz::testing
--- /dev/null
+++ b/tests/soak/soakrun.cpp
@@ -0,0 +1,550 @@
+// Faults of a soak run, in series and overlapping, and the checks that need the whole view.
+#include "soak/soakrun.h"
+
+#include "platform/platformnames.h"
+#include "qz_http/stream/httpcaller.h"
+#include "qz_http/tests/rawsocket.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <iomanip>
+#include <sstream>
+#include <utility>
+
+namespace qz::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char *service = "s";
+constexpr Duration requestPeriod = 8ms;
+constexpr Duration probePeriod = 300ms;
+constexpr Duration addressPeriod = 500ms;
+constexpr Duration restartPeriod = 50ms;
+constexpr Duration startLimit = 10s;
+/// The promises of the platform's pages that have a time.
+constexpr Duration configLimit = 2s;
+constexpr Duration drainLimit = 2s;
+/// After a disturbance of an instance or of the store the limits bind again.
+constexpr Duration stabilityWindow = 3s;
+/// Our own target: so long after the last fault nine in ten requests are answered.
+constexpr Duration recoveryTime = 5s;
+constexpr Duration recoveryWindow = 3s;
+constexpr double recoveredShare = 0.9;
+/// For callers' last requests to end.
+constexpr Duration endTime = 5500ms;
+constexpr int notFound = 404;
+constexpr int unavailable = 503;
+
+} // namespace
+
+struct SoakRun::Instance
+{
+    Instance(EventLoop &loop, int number, const Endpoint &store)
+        : name_("i" + std::to_string(number))
+        , domain_(number % 2 == 0 ? "d" : "e")
+        , storeRelay_(loop, store)
+    {
+        for (Endpoint *endpoint : { &caller_, &directory_, &ready_, &metrics_, &peer_ }) {
+            *endpoint = { "127.0.0.1", findFreePort() };
+        }
+    }
+
+    bool isRunning() const { return process_ != nullptr && !isPaused_ && !isStopping_; }
+
+    const std::string name_;
+    const std::string domain_;
+    Relay storeRelay_;
+    Endpoint caller_;
+    Endpoint directory_;
+    Endpoint ready_;
+    Endpoint metrics_;
+    Endpoint peer_;
+    std::unique_ptr<DaemonProcess> process_; ///< Null while it is down.
+    int incarnation_ = 0;
+    int seenVersion_ = 0; ///< The highest that this incarnation has shown.
+    bool isPaused_ = false;
+    bool isStopping_ = false;
+    TimePoint restartAt_{};
+    TimePoint calmSince_{};           ///< The end of its last disturbance.
+    TimePoint mayCutUntil_{};         ///< A kill or a pause ends or holds up answers.
+    std::vector<Endpoint> addresses_; ///< What its directory said last.
+};
+
+SoakRun::SoakRun(SoakPlan plan)
+    : plan_(std::move(plan))
+    , random_(plan_.seed_)
+    , store_(loop_)
+{
+}
+
+SoakRun::~SoakRun() = default;
+
+SoakResult SoakRun::run()
+{
+    publishConfig();
+    for (int i = 0; i < plan_.servers_; ++i) {
+        addServer(service);
+    }
+    for (int i = 0; i < plan_.instances_; ++i) {
+        instances_.push_back(std::make_unique<Instance>(loop_, i, store_.endpoint()));
+        startProcess(*instances_.back());
+    }
+    if (!awaitReady()) {
+        report("START: the instances are not ready in time");
+        return result_;
+    }
+    startedAt_ = loop_.now();
+    callers_ = std::make_unique<SoakCallers>(
+            loop_, ledger_, [this] { return pickAddress(); },
+            [this](const Endpoint &endpoint, TimePoint sentAt) {
+                return isCutExcused(endpoint, sentAt);
+            },
+            [this](const std::string &violation) { report(violation); }, plan_.seed_);
+    callers_->start(requestPeriod);
+    timers_.push_back(loop_.callEvery(restartPeriod, [this] { restartEnded(); }));
+    timers_.push_back(loop_.callEvery(probePeriod, [this] { probeConfig(); }));
+    timers_.push_back(loop_.callEvery(addressPeriod, [this] { updateAddresses(); }));
+    scheduleFaults();
+    // Faults that begin last end within three seconds.
+    const Duration faultTime = plan_.length_ + 3s;
+    loop_.runFor(faultTime + recoveryTime);
+    const TimePoint recoveredAt = loop_.now();
+    loop_.runFor(recoveryWindow);
+    callers_->stop();
+    loop_.runFor(endTime);
+    const auto [ended, answered] = callers_->servedSince(recoveredAt);
+    if (ended == 0 || answered < recoveredShare * ended) {
+        report("RECOVER: " + std::to_string(answered) + " of " + std::to_string(ended)
+               + " requests are answered after the last fault");
+    }
+    checkLeaving();
+    callers_->checkLedger();
+    result_.tally_ = callers_->tally();
+    return result_;
+}
+
+bool SoakRun::awaitReady()
+{
+    const TimePoint end = loop_.now() + startLimit;
+    std::size_t ready = 0;
+    std::vector<std::unique_ptr<HttpCaller>> callers;
+    for (const auto &instance : instances_) {
+        callers.push_back(std::make_unique<HttpCaller>(loop_, instance->ready_, 500ms, 1s));
+    }
+    while (ready < instances_.size() && loop_.now() < end) {
+        ready = 0;
+        for (const auto &caller : callers) {
+            HttpRequest request;
+            request.target_ = platform::readyPath;
+            caller->call(request, 1s, [&ready](Result<HttpResponse> answer) {
+                ready += answer.has_value() && answer.value().status_ == 200 ? 1 : 0;
+            });
+        }
+        loop_.runFor(250ms);
+    }
+    return ready == instances_.size();
+}
+
+void SoakRun::startProcess(Instance &instance)
+{
+    ++instance.incarnation_;
+    instance.seenVersion_ = 0;
+    instance.isStopping_ = false;
+    instance.isPaused_ = false;
+    instance.calmSince_ = loop_.now();
+    std::vector<std::string> environment{ "QUETZALDALE_FLEET_KEY=a key of this soak run" };
+    if (!plan_.faultPoint_.empty()) {
+        environment.push_back("QUETZALDALE_FAULT_POINT=" + plan_.faultPoint_);
+    }
+    instance.process_ = std::make_unique<DaemonProcess>(
+            plan_.daemon_,
+            std::vector<std::string>{
+                    "serve", "--instance-id=" + instance.name_, "--region=r",
+                    "--failure-domain=" + instance.domain_, "--failure-domains=d=r,e=r",
+                    "--caller-address=" + toString(instance.caller_),
+                    "--directory-address=" + toString(instance.directory_),
+                    "--ready-address=" + toString(instance.ready_),
+                    "--metrics-address=" + toString(instance.metrics_),
+                    "--peer-address=" + toString(instance.peer_),
+                    "--store-address=" + toString(instance.storeRelay_.endpoint()) },
+            environment,
+            plan_.logs_ + "/seed-" + std::to_string(plan_.seed_) + "-" + instance.name_ + "-"
+                    + std::to_string(instance.incarnation_) + ".log");
+}
+
+void SoakRun::restartEnded()
+{
+    for (const auto &instance : instances_) {
+        if (instance->process_ != nullptr && instance->process_->hasEnded()) {
+            const bool isExpected = instance->isStopping_
+                    ? instance->process_->exitStatus() == 0
+                            || instance->process_->exitStatus() == 128 + SIGKILL
+                    : instance->process_->exitStatus() == 128 + SIGKILL;
+            if (!isExpected) {
+                report("END: " + instance->name_ + " ended by itself with status "
+                       + std::to_string(instance->process_->exitStatus()));
+            }
+            instance->process_.reset();
+            instance->calmSince_ = loop_.now();
+            instance->restartAt_ = loop_.now() + drawDuration(100ms, 900ms);
+        } else if (instance->process_ == nullptr && loop_.now() >= instance->restartAt_) {
+            startProcess(*instance);
+        }
+    }
+}
+
+void SoakRun::publishConfig()
+{
+    ++configVersion_;
+    nlohmann::json rows = nlohmann::json::array();
+    rows.push_back({ "safe", "h", "/safe/", "safe", 4, 1, 2, service });
+    rows.push_back({ "once", "h", "/once/", "unsafe", 4, 1, 2, service });
+    for (int version = 1; version <= configVersion_; ++version) {
+        const std::string name = "v" + std::to_string(version);
+        rows.push_back({ name, "h", "/" + name + "/", "safe", 4, 1, 2, service });
+    }
+    std::ostringstream version;
+    version << std::hex << std::setw(8) << std::setfill('0') << configVersion_;
+    const nlohmann::json config{
+        { "Version", version.str() },
+        { "Routes",
+          { { "Columns",
+              { "Name", "Host", "Prefix", "Kind", "TimeoutS", "TargetLatencyS", "MaxAttempts",
+                "Service" } },
+            { "Rows", rows } } },
+        { "Services", { { "Columns", { "Name" } }, { "Rows", { { service } } } } },
+    };
+    store_.put(platform::operatorTable, platform::configKey, config.dump());
+    configAt_ = loop_.now();
+}
+
+void SoakRun::publishServer(const SoakServer &server)
+{
+    const bool isInD = std::hash<std::string>{}(server.id()) % 2 == 0;
+    store_.put(platform::backendTable, server.id(), server.makeEntry(isInD ? "d" : "e"));
+}
+
+void SoakRun::addServer(const std::string &service)
+{
+    ++lastServer_;
+    servers_.push_back(std::make_unique<SoakServer>(loop_, "b" + std::to_string(lastServer_),
+                                                    service, ledger_, random_()));
+    publishServer(*servers_.back());
+}
+
+void SoakRun::later(Duration delay, std::function<void()> work)
+{
+    timers_.push_back(loop_.callAfter(delay, std::move(work)));
+}
+
+void SoakRun::scheduleFaults()
+{
+    // Drawn before the first one, so that a seed begins the same faults however long each takes.
+    for (Duration at = 500ms; at < plan_.length_; at += drawDuration(150ms, 1200ms)) {
+        later(at, [this] { doFault(); });
+    }
+}
+
+void SoakRun::doFault()
+{
+    constexpr int kinds = 20;
+    const int kind = drawBelow(kinds);
+    if (kind < 8) {
+        faultInstance();
+    } else if (kind < 14) {
+        faultServer();
+    } else if (kind < 16) {
+        drainServer();
+    } else if (kind < 18) {
+        faultStore();
+    } else {
+        publishConfig();
+        note("config " + std::to_string(configVersion_));
+    }
+}
+
+void SoakRun::faultInstance()
+{
+    Instance &instance = *instances_[static_cast<std::size_t>(drawBelow(plan_.instances_))];
+    const int kind = drawBelow(6);
+    const Duration length = drawDuration(300ms, 2500ms);
+    if (instance.process_ == nullptr) {
+        return;
+    }
+    instance.calmSince_ = loop_.now() + length;
+    const int incarnation = instance.incarnation_;
+    const auto kill = [this, &instance, incarnation] {
+        if (instance.process_ != nullptr && instance.incarnation_ == incarnation) {
+            note("kill " + instance.name_);
+            instance.mayCutUntil_ = loop_.now();
+            instance.process_->send(SIGKILL);
+        }
+    };
+    switch (kind) {
+    case 0:
+    case 1:
+        kill();
+        break;
+    case 2:
+        note("pause " + instance.name_);
+        instance.isPaused_ = true;
+        instance.mayCutUntil_ = loop_.now() + length;
+        instance.process_->send(SIGSTOP);
+        later(length, [&instance, incarnation] {
+            if (instance.process_ != nullptr && instance.incarnation_ == incarnation) {
+                instance.isPaused_ = false;
+                instance.process_->send(SIGCONT);
+            }
+        });
+        break;
+    case 3:
+        note("stop " + instance.name_);
+        instance.isStopping_ = true;
+        instance.process_->send(SIGTERM);
+        break;
+    case 4:
+        note("stop, then kill " + instance.name_);
+        instance.isStopping_ = true;
+        instance.process_->send(SIGTERM);
+        later(length, kill);
+        break;
+    default:
+        note("hup " + instance.name_);
+        instance.process_->send(SIGHUP);
+    }
+}
+
+void SoakRun::faultServer()
+{
+    SoakServer &server = *servers_[static_cast<std::size_t>(drawBelow(int(servers_.size())))];
+    const Duration length = drawDuration(300ms, 2500ms);
+    const int kind = drawBelow(9);
+    constexpr std::array<RelayMode, 5> modes{ RelayMode::Delay, RelayMode::Reset,
+                                              RelayMode::LoseToServer, RelayMode::LoseToClient,
+                                              RelayMode::Silent };
+    serverFaultsUntil_ = std::max(serverFaultsUntil_, loop_.now() + length);
+    note("server " + server.id() + " fault " + std::to_string(kind));
+    if (kind < int(modes.size())) {
+        server.relay().setMode(modes.at(static_cast<std::size_t>(kind)), drawDuration(20ms, 300ms));
+        later(length, [&server] { server.relay().setMode(RelayMode::Pass); });
+        return;
+    }
+    SoakServerFault fault;
+    constexpr double share = 0.4;
+    constexpr double slow = 10.0;
+    switch (kind - int(modes.size())) {
+    case 0:
+        fault.resetShare_ = share;
+        break;
+    case 1:
+        fault.loseShare_ = share;
+        break;
+    case 2:
+        fault.truncateShare_ = share;
+        break;
+    default:
+        fault.slowFactor_ = slow;
+    }
+    server.setFault(fault);
+    later(length, [&server] { server.setFault({}); });
+}
+
+void SoakRun::drainServer()
+{
+    std::vector<SoakServer *> open;
+    for (const auto &server : servers_) {
+        if (!server->isDraining()) {
+            open.push_back(server.get());
+        }
+    }
+    SoakServer &leaving = *open[static_cast<std::size_t>(drawBelow(int(open.size())))];
+    note("drain " + leaving.id());
+    addServer(service);
+    leaving.startDraining(loop_.now());
+    publishServer(leaving);
+    later(drawDuration(500ms, 2500ms),
+          [this, &leaving] { store_.remove(platform::backendTable, leaving.id()); });
+}
+
+void SoakRun::faultStore()
+{
+    const Duration length = drawDuration(300ms, 2500ms);
+    const int kind = drawBelow(7);
+    note("store fault " + std::to_string(kind));
+    storeCalmSince_ = std::max(storeCalmSince_, loop_.now() + length);
+    constexpr std::array<StoreStandIn::Fault, 3> faults{ StoreStandIn::Fault::Refuses,
+                                                         StoreStandIn::Fault::Silent,
+                                                         StoreStandIn::Fault::Resets };
+    if (kind < int(faults.size())) {
+        store_.setFault(faults.at(static_cast<std::size_t>(kind)));
+        later(length, [this] { store_.setFault(StoreStandIn::Fault::None); });
+        return;
+    }
+    if (kind == int(faults.size())) {
+        store_.dropHistory();
+        return;
+    }
+    constexpr std::array<RelayMode, 3> modes{ RelayMode::Reset, RelayMode::Silent,
+                                              RelayMode::LoseToClient };
+    const RelayMode mode = modes.at(static_cast<std::size_t>(kind) - faults.size() - 1);
+    for (const auto &instance : instances_) {
+        if (drawBelow(2) == 0) {
+            instance->storeRelay_.setMode(mode);
+            later(length, [&relay = instance->storeRelay_] { relay.setMode(RelayMode::Pass); });
+        }
+    }
+}
+
+void SoakRun::probeConfig()
+{
+    for (const auto &instance : instances_) {
+        if (instance->isRunning()) {
+            probeInstance(*instance);
+        }
+    }
+}
+
+void SoakRun::ask(const Endpoint &endpoint, const std::string &target, AnswerHandler handler)
+{
+    HttpRequest request;
+    request.target_ = target;
+    request.headers_.add("Host", "h");
+    request.headers_.add(platform::makeForwardHeaders().requestId_,
+                         "probe-" + std::to_string(++lastProbe_));
+    const int number = lastProbe_;
+    auto &caller = probes_[number];
+    caller = std::make_unique<HttpCaller>(loop_, endpoint, 500ms, 2s);
+    caller->call(request, 2s,
+                 [this, number, handler = std::move(handler)](Result<HttpResponse> answer) {
+                     handler(answer);
+                     later(Duration::zero(), [this, number] { probes_.erase(number); });
+                 });
+}
+
+void SoakRun::probeInstance(Instance &instance)
+{
+    const int version = configVersion_ - drawBelow(std::min(configVersion_, 2));
+    const bool isBound = version < configVersion_ || loop_.now() - configAt_ > configLimit;
+    const bool isNewestBound = isBound && isCalm(instance);
+    const int incarnation = instance.incarnation_;
+    ask(instance.caller_, "/v" + std::to_string(version) + "/x",
+        [this, &instance, version, incarnation, isNewestBound](const Result<HttpResponse> &answer) {
+            if (answer.has_error() || instance.incarnation_ != incarnation
+                || answer.value().status_ == unavailable) {
+                return;
+            }
+            if (answer.value().status_ != notFound) {
+                instance.seenVersion_ = std::max(instance.seenVersion_, version);
+            } else if (version <= instance.seenVersion_) {
+                report("CONFIG: " + instance.name_ + " went back behind version "
+                       + std::to_string(version));
+            } else if (isNewestBound) {
+                report("CONFIG: " + instance.name_ + " has no version " + std::to_string(version)
+                       + " in time");
+            }
+        });
+}
+
+void SoakRun::checkLeaving()
+{
+    TimePoint calm = storeCalmSince_;
+    for (const auto &instance : instances_) {
+        calm = std::max(calm, instance->calmSince_);
+    }
+    for (const auto &server : servers_) {
+        if (server->isDraining()
+            && server->lastRequestAt()
+                    > std::max(server->drainingSince() + drainLimit, calm + stabilityWindow)) {
+            report("DRAIN: " + server->id() + " still gets requests");
+        }
+    }
+}
+
+void SoakRun::updateAddresses()
+{
+    for (const auto &instance : instances_) {
+        if (!instance->isRunning()) {
+            continue;
+        }
+        ask(instance->directory_,
+            std::string(platform::directoryPath) + "?Name=h&Region=r&Zone=" + instance->domain_,
+            [&found = *instance](const Result<HttpResponse> &answer) {
+                if (answer.has_error() || answer.value().status_ != 200) {
+                    return; // Callers keep what they were told before.
+                }
+                found.addresses_.clear();
+                const auto body = nlohmann::json::parse(answer.value().body_);
+                for (const auto &text : body.at("Addresses")) {
+                    const auto address = text.get<std::string>();
+                    const std::size_t colon = address.find(':');
+                    found.addresses_.push_back(
+                            { address.substr(0, colon),
+                              static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))) });
+                }
+            });
+    }
+}
+
+Endpoint SoakRun::pickAddress()
+{
+    std::vector<Endpoint> told;
+    for (const auto &instance : instances_) {
+        told.insert(told.end(), instance->addresses_.begin(), instance->addresses_.end());
+    }
+    return told.empty() ? Endpoint{} : told[static_cast<std::size_t>(drawBelow(int(told.size())))];
+}
+
+bool SoakRun::isCutExcused(const Endpoint &endpoint, TimePoint sentAt) const
+{
+    // A server that breaks off a long answer cuts it, as the instance has begun to pass it on.
+    if (serverFaultsUntil_ >= sentAt) {
+        return true;
+    }
+    return std::any_of(instances_.begin(), instances_.end(), [&](const auto &instance) {
+        return instance->caller_ == endpoint && instance->mayCutUntil_ >= sentAt;
+    });
+}
+
+bool SoakRun::isCalm(const Instance &instance) const
+{
+    const TimePoint now = loop_.now();
+    return instance.isRunning() && now - instance.calmSince_ > stabilityWindow
+            && now - storeCalmSince_ > stabilityWindow;
+}
+
+void SoakRun::note(const std::string &what)
+{
+    std::ostringstream line;
+    line << std::fixed << std::setprecision(2) << elapsed() << " s " << what;
+    result_.faults_.push_back(line.str());
+}
+
+void SoakRun::report(const std::string &violation)
+{
+    std::ostringstream line;
+    line << std::fixed << std::setprecision(2) << elapsed() << " s " << violation;
+    result_.violations_.push_back(line.str());
+}
+
+double SoakRun::elapsed() const
+{
+    return std::chrono::duration<double>(loop_.now() - startedAt_).count();
+}
+
+Duration SoakRun::drawDuration(Duration least, Duration most)
+{
+    std::uniform_int_distribution<Duration::rep> any(least.count(), most.count());
+    return Duration(any(random_));
+}
+
+int SoakRun::drawBelow(int limit)
+{
+    return std::uniform_int_distribution<int>(0, limit - 1)(random_);
+}
+
+} // namespace qz::testing
--- /dev/null
+++ b/tests/soak/soakrun.h
@@ -0,0 +1,100 @@
+// One seeded run of the soak: a fleet under load, with faults from outside it.
+#pragma once
+
+#include "platform/tests/storestandin.h"
+#include "qz_http/stream/httpcaller.h"
+#include "soak/soakcallers.h"
+#include "soak/soakservers.h"
+#include "testbed/daemonprocess.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace qz::testing {
+
+struct SoakPlan
+{
+    std::string daemon_;     ///< The program quetzaldaled.
+    std::string logs_;       ///< A directory for the instances' logs.
+    std::string faultPoint_; ///< Of a test build: the rule that it breaks. Empty: none.
+    std::uint64_t seed_ = 1;
+    int instances_ = 6;
+    int servers_ = 8;
+    Duration length_ = std::chrono::seconds(10); ///< In which faults begin.
+};
+
+struct SoakResult
+{
+    std::vector<std::string> violations_;
+    std::vector<std::string> faults_; ///< What was done, with the time since the start.
+    SoakTally tally_;
+};
+
+/// Starts the instances, offers load, does what the seed says, lets all recover and checks.
+/// @see SoakCallers
+class SoakRun
+{
+public:
+    explicit SoakRun(SoakPlan plan);
+    ~SoakRun();
+    SoakRun(const SoakRun &) = delete;
+    SoakRun &operator=(const SoakRun &) = delete;
+
+    SoakResult run();
+
+private:
+    struct Instance;
+    using AnswerHandler = std::function<void(const Result<HttpResponse> &answer)>;
+
+    bool awaitReady();
+    void startProcess(Instance &instance);
+    void restartEnded();
+    void publishConfig();
+    void publishServer(const SoakServer &server);
+    void addServer(const std::string &service);
+    void scheduleFaults();
+    void doFault();
+    void faultInstance();
+    void faultServer();
+    void faultStore();
+    void drainServer();
+    void probeConfig();
+    void probeInstance(Instance &instance);
+    void ask(const Endpoint &endpoint, const std::string &target, AnswerHandler handler);
+    void checkLeaving();
+    void updateAddresses();
+    Endpoint pickAddress();
+    bool isCutExcused(const Endpoint &endpoint, TimePoint sentAt) const;
+    bool isCalm(const Instance &instance) const;
+    void later(Duration delay, std::function<void()> work);
+    void note(const std::string &what);
+    void report(const std::string &violation);
+    double elapsed() const;
+    Duration drawDuration(Duration least, Duration most);
+    int drawBelow(int limit);
+
+    const SoakPlan plan_;
+    EventLoop loop_;
+    std::mt19937_64 random_;
+    StoreStandIn store_;
+    RunLedger ledger_;
+    std::vector<std::unique_ptr<SoakServer>> servers_; ///< Those that have left stay.
+    std::vector<std::unique_ptr<Instance>> instances_;
+    std::unique_ptr<SoakCallers> callers_;
+    SoakResult result_;
+    TimePoint startedAt_;
+    TimePoint storeCalmSince_;    ///< The end of its last fault.
+    TimePoint serverFaultsUntil_; ///< The end of the last fault of a backend server.
+    int configVersion_ = 0;
+    TimePoint configAt_;
+    int lastServer_ = 0;
+    int lastProbe_ = 0;
+    std::map<int, std::unique_ptr<HttpCaller>> probes_; ///< Calls under way.
+    std::vector<Timers::HandlePtr> timers_;
+};
+
+} // namespace qz::testing
