--- a/apps/quetzaldaled/serve/servedaemon.cpp
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -27,6 +27,8 @@
 constexpr Duration stopMargin = 300ms;
 /// Callers may keep an address so many times as long as they were told.
 constexpr int addressKeepFactor = 3;
+/// After that time callers that are late with a new answer still come.
+constexpr Duration lateCallerTime = 500ms;
 /// Of the slack of retry budgets: the part that the entries share.
 constexpr double entrySlackPart = 0.85;
 constexpr int exitCannotListen = 2;
@@ -258,6 +260,10 @@
         return;
     }
     callers_.closeIdleConnections();
+    if (since >= settings_.addressKeepTime_ * addressKeepFactor + lateCallerTime) {
+        // Whoever still comes goes elsewhere; a request that is taken now could not end in time.
+        callers_.stopListening();
+    }
     const bool isDone = callers_.connectionCount() == 0 && forwarder_.runningCount() == 0;
     if (isDone || since > settings_.stopLimit_ - stopMargin) {
         loop_.stop();
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -74,11 +74,13 @@
     void note(const std::string &what);
     void report(const std::string &violation);
     double elapsed() const;
+    /// Of the faults' random numbers.
     Duration drawDuration(Duration least, Duration most);
     int drawBelow(int limit);
 
     const SoakPlan plan_;
     EventLoop loop_;
+    std::mt19937_64 faultRandom_; ///< For faults alone, so that a seed means the same ones.
     std::mt19937_64 random_;
     StoreStandIn store_;
     RunLedger ledger_;
