--- a/packages/qz_forward/run/forwardrun.cpp
+++ b/packages/qz_forward/run/forwardrun.cpp
@@ -233,8 +233,8 @@
         // What is only assumed must not be a reason to refuse.
         request.expected_ = std::min(request.expected_, request.timeLeft_ / 2);
     }
-    request.isSpread_ = forwarder_.servedShare(service_).unserved(forwarder_.loop().now())
-            > PlacementRequest::spreadLevel_;
+    request.isSpread_ =
+            forwarder_.servedShare(service_).unserved(forwarder_.loop().now()) > spreadLevel;
     return request;
 }
 
--- a/packages/qz_placement/choice/placement.h
+++ b/packages/qz_placement/choice/placement.h
@@ -44,13 +44,13 @@
     bool isSpread_ = false;
     /// Requests wait for the servers in use: held ones are worth a trial. @see ServiceLatency
     bool isCrowded_ = false;
-
-    /// The part of a service's requests at one instance that fails from which on isSpread_
-    /// holds. Below the tenth, over all instances, at which the floor of servers in use binds:
-    /// what one instance sees differs from the whole by a few in a hundred.
-    static constexpr double spreadLevel_ = 0.08;
 };
 
+/// The part of a service's requests at one instance that fails from which on
+/// PlacementRequest::isSpread_ holds. Below the tenth, over all instances, at which the floor of
+/// servers in use binds: what one instance sees differs from the whole by a few in a hundred.
+constexpr double spreadLevel = 0.08;
+
 /// What a server costs beside its time, as a part of the request's target time. Bytes between
 /// failure domains and regions are paid by volume, so work stays near unless it would be late
 /// there.
--- a/packages/qz_placement/tests/placementtest.cpp
+++ b/packages/qz_placement/tests/placementtest.cpp
@@ -366,7 +366,7 @@
     for (int i = 0; i < 24; ++i, now += 33ms) {
         share.record(i % 5 != 0, now);
     }
-    BOOST_TEST(share.unserved(now) > qz::PlacementRequest::spreadLevel_);
+    BOOST_TEST(share.unserved(now) > qz::spreadLevel);
 }
 
 BOOST_AUTO_TEST_CASE(latencyEstimatesFollowTheAnswers)
--- a/packages/qz_placement/tests/servermodel.h
+++ b/packages/qz_placement/tests/servermodel.h
@@ -184,7 +184,7 @@
         made.timeLeft_ = request.arrivedAt_ + load_.timeout_ - now_;
         made.expected_ = instance.latency_.mean(load_.target_);
         made.isCrowded_ = instance.latency_.isCrowded();
-        made.isSpread_ = instance.share_.unserved(now_) > PlacementRequest::spreadLevel_;
+        made.isSpread_ = instance.share_.unserved(now_) > spreadLevel;
         return made;
     }
 
@@ -215,6 +215,7 @@
         std::iota(order.begin(), order.end(), std::size_t(0));
         std::shuffle(order.begin(), order.end(), random_);
         std::vector<PlacementCandidate> candidates;
+        candidates.reserve(order.size());
         for (const std::size_t server : order) {
             candidates.push_back(makeCandidate(*request, server));
         }
--- a/packages/qz_replica/tests/replicatest.cpp
+++ b/packages/qz_replica/tests/replicatest.cpp
@@ -95,8 +95,10 @@
         node->presence_->start();
     }
     loop.runFor(200ms);
+    constexpr int count = 400;
     std::vector<qz::ReplicaRow> rows;
-    for (int i = 0; i < 400; ++i) {
+    rows.reserve(count);
+    for (int i = 0; i < count; ++i) {
         rows.push_back({ "k" + std::to_string(i), std::string(250, 'v'), false });
     }
     all[0]->replicas_->publish(makeWhole(7, rows));
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -454,7 +454,7 @@
     auto &caller = probes_[number];
     caller = std::make_unique<HttpCaller>(loop_, endpoint, 500ms, 2s);
     caller->call(request, 2s,
-                 [this, number, handler = std::move(handler)](Result<HttpResponse> answer) {
+                 [this, number, handler = std::move(handler)](const Result<HttpResponse> &answer) {
                      handler(answer);
                      later(Duration::zero(), [this, number] { probes_.erase(number); });
                  });
