--- a/packages/qz_forward/requests/forwardattempt.h
+++ b/packages/qz_forward/requests/forwardattempt.h
@@ -31,7 +31,7 @@
     /// Pauses or resumes reading of the response, as back pressure from the caller.
     void setReading(bool isReading) { connection_->setReading(isReading); }
 
-    Backend &server() { return *server_; }
+    Backend &server() const { return *server_; }
     const Placement &placement() const { return placement_; }
     const HttpHead &responseHead() const { return responseHead_; }
     std::string &responseBody() { return responseBody_; }
--- a/packages/qz_forward/requests/forwardedrequest.cpp
+++ b/packages/qz_forward/requests/forwardedrequest.cpp
@@ -23,12 +23,8 @@
 constexpr int maxConnectFailures = 4;
 /// Unsent bytes of a body after which reading pauses for a slow receiver.
 constexpr std::size_t maxUnsentBytes = std::size_t(256) * 1024;
-/// Hedged attempts may use this fraction of the retry budget; the rest is kept for failures.
-constexpr double hedgingBudgetFraction = 0.5;
-/// A hedged attempt starts after the 90th percentile of the response times, but not outside this
-/// range. Both bounds are fractions of the target time.
-constexpr double minHedgingDelayFraction = 0.3;
-constexpr double maxHedgingDelayFraction = 0.75;
+/// Period of the checks whether an unanswered request is sent to a second server.
+constexpr Duration hedgingCheckPeriod = 20ms;
 /// Bounds of the Retry-After time.
 constexpr Duration minRetryAfter = 200ms;
 constexpr Duration maxRetryAfter = 3s;
@@ -241,28 +237,38 @@
     return request;
 }
 
-std::optional<Placement> ForwardedRequest::chooseServer()
+bool ForwardedRequest::startNextAttempt()
 {
-    return choosePlacement(makeCandidates(), makePlacementRequest(),
-                           forwarder_.settings().placement_, forwarder_.loop().now());
+    const auto placement = chooseServer();
+    if (placement) {
+        startAttempt(*placement);
+    }
+    return placement.has_value();
 }
 
-bool ForwardedRequest::startNextAttempt()
+bool ForwardedRequest::startRetry()
+{
+    const auto placement = chooseServer();
+    if (!placement || !forwarder_.allowance(service_).tryAcquire(forwarder_.loop().now())) {
+        return false;
+    }
+    startAttempt(*placement);
+    return true;
+}
+
+std::optional<Placement> ForwardedRequest::chooseServer()
 {
     candidateServers_.clear();
     for (const auto &server : forwarder_.backends().serversOf(service_)) {
         if (server->isOpen()) {
+            forwarder_.ejectIfOverdue(*server, route_->isRepeatable_, route_->target_);
             candidateServers_.push_back(server);
         }
     }
     // A random order, so that not all instances prefer the same servers.
     std::shuffle(candidateServers_.begin(), candidateServers_.end(), forwarder_.random());
-    const auto placement = chooseServer();
-    if (!placement) {
-        return false;
-    }
-    startAttempt(*placement);
-    return true;
+    return choosePlacement(makeCandidates(), makePlacementRequest(),
+                           forwarder_.settings().placement_, forwarder_.loop().now());
 }
 
 void ForwardedRequest::startAttempt(const Placement &placement)
@@ -275,14 +281,16 @@
 
 void ForwardedRequest::scheduleHedging()
 {
-    if (!route_->isRepeatable_ || isBodyStreamed_ || sentAttempts_ + 1 >= route_->maxAttempts_) {
+    hedgingTimer_.reset();
+    const auto active = std::count_if(attempts_.begin(), attempts_.end(),
+                                      [](const auto &attempt) { return !attempt->isEnded(); });
+    if (!route_->isRepeatable_ || isBodyStreamed_
+        || sentAttempts_ + active >= route_->maxAttempts_) {
         return;
     }
-    const Duration percentile90 = forwarder_.latency(service_).percentile90(route_->target_);
-    const Duration delay =
-            std::clamp(percentile90, scaled(route_->target_, minHedgingDelayFraction),
-                       scaled(route_->target_, maxHedgingDelayFraction));
-    hedgingTimer_ = forwarder_.loop().callAfter(delay, [this] { startHedgedAttempt(); });
+    // No second attempt starts before the mean latency. @see shouldHedge
+    hedgingTimer_ = forwarder_.loop().callAfter(forwarder_.latency(service_).mean(route_->target_),
+                                                [this] { checkHedging(); });
 }
 
 bool ForwardedRequest::hasActiveAttempt() const
@@ -291,23 +299,33 @@
                        [](const auto &attempt) { return !attempt->isEnded(); });
 }
 
-void ForwardedRequest::startHedgedAttempt()
+HedgingCandidate ForwardedRequest::makeHedgingCandidate(const ForwardAttempt &attempt) const
+{
+    const TimePoint now = forwarder_.loop().now();
+    const ServiceLatency &latency = forwarder_.latency(service_);
+    HedgingCandidate candidate;
+    candidate.age_ = attempt.elapsed();
+    candidate.target_ = route_->target_;
+    candidate.meanLatency_ = latency.mean(route_->target_);
+    candidate.percentile90_ = latency.percentile90(route_->target_);
+    candidate.overdueAge_ = latency.overdueAge(route_->target_);
+    candidate.isServerSuspect_ = attempt.server().health().state(now) != ServerHealth::State::Good;
+    candidate.usedBudgetShare_ = forwarder_.allowance(service_).usedShare(now);
+    return candidate;
+}
+
+void ForwardedRequest::checkHedging()
 {
     hedgingTimer_.reset();
-    int activeAttempts = 0;
-    for (const auto &attempt : attempts_) {
-        activeAttempts += attempt->isEnded() ? 0 : 1;
-    }
-    if (isEnded_ || streamingAttempt_ != nullptr
-        || sentAttempts_ + activeAttempts >= route_->maxAttempts_) {
+    const auto active = std::find_if(attempts_.begin(), attempts_.end(),
+                                     [](const auto &attempt) { return !attempt->isEnded(); });
+    if (isEnded_ || streamingAttempt_ != nullptr || active == attempts_.end()) {
         return;
     }
-    const TimePoint now = forwarder_.loop().now();
-    RetryAllowance &allowance = forwarder_.allowance(service_);
-    if (allowance.usedShare(now) > hedgingBudgetFraction || !allowance.tryAcquire(now)) {
-        return;
+    const bool isStarted = shouldHedge(makeHedgingCandidate(**active)) && startRetry();
+    if (!isStarted) {
+        hedgingTimer_ = forwarder_.loop().callAfter(hedgingCheckPeriod, [this] { checkHedging(); });
     }
-    startNextAttempt();
 }
 
 bool ForwardedRequest::canRetry() const
@@ -322,9 +340,7 @@
         return;
     }
     const bool isRetry = sentAttempts_ > 0;
-    const bool isAllowed = canRetry()
-            && (!isRetry || forwarder_.allowance(service_).tryAcquire(forwarder_.loop().now()));
-    if (!isAllowed || !startNextAttempt()) {
+    if (!canRetry() || !(isRetry ? startRetry() : startNextAttempt())) {
         fail(error);
     }
 }
@@ -368,12 +384,9 @@
         return;
     case AttemptResult::ServerError:
         mayHaveRun_ = true;
-        if (route_->isRepeatable_ && canRetry() && sentAttempts_ + 1 < route_->maxAttempts_
-            && forwarder_.allowance(service_).tryAcquire(forwarder_.loop().now())) {
-            endAttempt(attempt, result, status);
-            if (hasActiveAttempt() || startNextAttempt()) {
-                return;
-            }
+        endAttempt(attempt, result, status);
+        if (route_->isRepeatable_ && (hasActiveAttempt() || (canRetry() && startRetry()))) {
+            return;
         }
         sendResponse(attempt);
         return;
@@ -487,7 +500,15 @@
     if (isEnded_) {
         return;
     }
-    endActiveAttempts(AttemptResult::Cancelled);
+    for (const auto &attempt : attempts_) {
+        if (!attempt->isEnded()) {
+            const bool isOverdue = attempt->isHandedOver()
+                    && attempt->elapsed()
+                            > forwarder_.overdueAge(attempt->server(), route_->target_);
+            endAttempt(*attempt, isOverdue ? AttemptResult::TimedOut : AttemptResult::Cancelled,
+                       "");
+        }
+    }
     finish("caller-gone", 0, "the caller closed its connection");
 }
 
@@ -571,9 +592,15 @@
     if (isLogged(LogLevel::Info)) {
         // The log limits the lines of each event. Separate events keep many successful requests
         // from suppressing the lines about failed ones.
+        const RequestRoute unknown;
+        const RequestRoute &route = route_ == nullptr ? unknown : *route_;
         log(LogLevel::Info, isSuccess ? "request-answered" : "request-failed",
             { { "request", requestId_ },
-              { "route", route_ == nullptr ? "" : route_->name_ },
+              { "route", route.name_ },
+              { "repeatable", route.isRepeatable_ },
+              { "priority", route.priority_ },
+              { "target_ms", toMilliseconds(route.target_) },
+              { "timeout_ms", toMilliseconds(deadline_ - exchange_->arrivedAt()) },
               { "service", service_.value() },
               { "config_version", routes_ == nullptr ? 0 : routes_->version() },
               { "servers_listed", candidateServers_.size() },
--- a/packages/qz_forward/requests/forwardedrequest.h
+++ b/packages/qz_forward/requests/forwardedrequest.h
@@ -67,12 +67,16 @@
     std::vector<PlacementCandidate> makeCandidates() const;
     PlacementRequest makePlacementRequest();
     std::optional<Placement> chooseServer();
+    /// Starts an attempt if a server can be chosen. Returns whether it did.
     bool startNextAttempt();
+    /// The same within the retry budget.
+    bool startRetry();
     void startAttempt(const Placement &placement);
     bool canRetry() const;
     void retryOrFail(const Error &error);
     void scheduleHedging();
-    void startHedgedAttempt();
+    HedgingCandidate makeHedgingCandidate(const ForwardAttempt &attempt) const;
+    void checkHedging();
     void handleDeadline();
     AttemptResult classify(const ForwardAttempt &attempt) const;
     void sendResponse(ForwardAttempt &attempt);
--- a/packages/qz_forward/requests/forwarder.cpp
+++ b/packages/qz_forward/requests/forwarder.cpp
@@ -71,6 +71,35 @@
     return serverRoleProvider_ ? serverRoleProvider_(server) : ServerRole::Owner;
 }
 
+Duration Forwarder::overdueAge(const Backend &server, Duration target)
+{
+    const ServiceLatency &latency = latencies_[server.listed().service_];
+    const double slowness = std::max(1.0, server.health().relativeLatency(latency.mean(target)));
+    return std::chrono::duration_cast<Duration>(latency.overdueAge(target) * slowness);
+}
+
+void Forwarder::ejectIfOverdue(Backend &server, bool isRepeatable, Duration target)
+{
+    const TimePoint now = loop_.now();
+    if (server.oldestRequestAge(now) <= overdueAge(server, target)
+        || !server.health().recordOverdue(*server.oldestRequestStart(), isRepeatable, now)) {
+        return;
+    }
+    logEjection(server, "overdue");
+}
+
+void Forwarder::logEjection(const Backend &server, std::string_view cause)
+{
+    const Duration ejectionTime = server.health().ejectedUntil() - loop_.now();
+    metrics_.countEjection(server.listed().service_.value());
+    log(LogLevel::Info, "server-held",
+        { { "server", server.listed().id_.value() },
+          { "service", server.listed().service_.value() },
+          { "cause", cause },
+          { "hold_ms", std::chrono::duration_cast<std::chrono::milliseconds>(ejectionTime).count() },
+          { "in_flight", server.inFlight() } });
+}
+
 void Forwarder::recordAttempt(Backend &server, AttemptResult result, Duration elapsed,
                               bool isRepeatable)
 {
@@ -82,17 +111,9 @@
         latencies_[service].record(elapsed, now);
     }
     if (server.health().record(result, elapsed, isRepeatable, now)) {
-        const Duration ejectionTime = server.health().ejectedUntil() - now;
-        metrics_.countEjection(service.value());
-        log(LogLevel::Info, "server-held",
-            { { "server", server.listed().id_.value() },
-              { "service", service.value() },
-              { "cause", toString(result) },
-              { "hold_ms",
-                std::chrono::duration_cast<std::chrono::milliseconds>(ejectionTime).count() },
-              { "in_flight", server.inFlight() } });
+        logEjection(server, toString(result));
         if (healthListener_ && isServerFault(result)) {
-            healthListener_(server, ejectionTime);
+            healthListener_(server, server.health().ejectedUntil() - now);
         }
         return;
     }
--- a/packages/qz_forward/requests/forwarder.h
+++ b/packages/qz_forward/requests/forwarder.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <random>
 #include <set>
+#include <string_view>
 #include <vector>
 
 namespace qz {
@@ -95,11 +96,18 @@
     }
     /// Records how an attempt at @p server ended after @p elapsed.
     void recordAttempt(Backend &server, AttemptResult result, Duration elapsed, bool isRepeatable);
+    /// Ejects @p server if its oldest unanswered request is overdue. @p target is the target time
+    /// of the request to place.
+    void ejectIfOverdue(Backend &server, bool isRepeatable, Duration target);
+    /// Returns the age from which a request to @p server is overdue.
+    Duration overdueAge(const Backend &server, Duration target);
     ServerRole serverRole(const Backend &server) const;
     /// Deletes an ended request on the loop's next turn.
     void deleteLater(ForwardedRequest *request);
 
 private:
+    void logEjection(const Backend &server, std::string_view cause);
+
     EventLoop &loop_;
     const ForwardSettings settings_;
     BackendTable &backends_;
--- a/packages/qz_placement/health/serverhealth.cpp
+++ b/packages/qz_placement/health/serverhealth.cpp
@@ -104,6 +104,10 @@
         minLatency_ += std::chrono::duration_cast<Duration>(minLatency_ * minLatencyDrift);
         minLatency_ = minLatency_ == Duration::zero() ? latency : std::min(minLatency_, latency);
         failureScore_ /= 2.0;
+        if (trialsLeft_ > 0 && now - latency == overdueSentAt_) {
+            applyReportedRecovery(now);
+            return false;
+        }
         // An answer to a request sent before the ejection is not a result of the trial.
         if (trialsLeft_ > 0 && now - latency >= ejectedSince_ && --trialsLeft_ == 0) {
             ejectedUntil_ = std::min(ejectedUntil_, now);
@@ -127,6 +131,16 @@
     return false;
 }
 
+bool ServerHealth::recordOverdue(TimePoint sentAt, bool isRepeatable, TimePoint now)
+{
+    if (trialsLeft_ > 0 && sentAt < ejectedSince_) {
+        return false; // Sent before the ejection: no result of a trial.
+    }
+    eject(!isRepeatable, now);
+    overdueSentAt_ = sentAt;
+    return true;
+}
+
 void ServerHealth::eject(bool isTrialCostly, TimePoint now)
 {
     const Duration minTime =
@@ -134,6 +148,7 @@
     const Duration length = std::max(minTime, nextEjectionTime_);
     ejectedSince_ = now;
     ejectedUntil_ = now + length;
+    overdueSentAt_ = {};
     nextEjectionTime_ = std::min(length * 2, limits_.maxEjectionTime_);
     trialsLeft_ = limits_.trialSuccesses_;
     failureScore_ = 0.0;
--- a/packages/qz_placement/health/serverhealth.h
+++ b/packages/qz_placement/health/serverhealth.h
@@ -75,6 +75,11 @@
     /// starts an ejection or restarts the current one.
     bool record(AttemptResult result, Duration latency, bool isRepeatable, TimePoint now);
 
+    /// Ejects the server because the request that was sent to it at @p sentAt is overdue. The
+    /// ejection ends early if that request is answered after all. Returns true if this starts an
+    /// ejection or restarts the current one.
+    bool recordOverdue(TimePoint sentAt, bool isRepeatable, TimePoint now);
+
     /// Ejects the server because another instance reported an ejection that ends @p remaining after
     /// @p now. Repeated reports of one ejection restart it, but do not move its end.
     void applyReportedEjection(Duration remaining, TimePoint now);
@@ -97,6 +102,8 @@
     TimePoint ejectedSince_{};
     Duration nextEjectionTime_{ 0 }; ///< Zero: the next ejection is the first.
     int trialsLeft_ = 0;             ///< Above zero: ejected or on trial.
+    /// Time when the overdue request that caused the ejection was sent; zero: no such request.
+    TimePoint overdueSentAt_{};
     Duration meanLatency_{ 0 };      ///< Zero: no answer yet.
     Duration minLatency_{ 0 };       ///< Rises slowly; zero: no answer yet.
 };
--- a/packages/qz_placement/health/servicelatency.cpp
+++ b/packages/qz_placement/health/servicelatency.cpp
@@ -14,6 +14,8 @@
 /// converge on the 90th percentile.
 constexpr double percentileStepUp = 0.45;
 constexpr double percentileStepDown = 0.05;
+/// Mean deviations above the mean from which an answer is overdue.
+constexpr int overdueDeviations = 4;
 constexpr int minAnswers = 10;
 /// Minimum time for which a lowest mean is kept. Longer than a flood, and shorter than the hours in
 /// which the work of the requests changes.
@@ -24,6 +26,7 @@
 /// Estimates with too few answers, as fractions of the target time.
 constexpr double assumedMean = 0.35;
 constexpr double assumedPercentile90 = 0.7;
+constexpr double assumedOverdueAge = 1.0;
 
 Duration scaled(Duration duration, double factor)
 {
@@ -37,9 +40,11 @@
     if (count_ == 0) {
         mean_ = latency;
         percentile90_ = latency * 2;
+        meanDeviation_ = latency / 2;
     }
     ++count_;
     const double gain = std::max(meanGain, 1.0 / count_);
+    meanDeviation_ += scaled(std::chrono::abs(latency - mean_) - meanDeviation_, gain);
     mean_ += scaled(latency - mean_, gain);
     percentile90_ += latency > percentile90_ ? scaled(mean_, percentileStepUp)
                                              : -scaled(mean_, percentileStepDown);
@@ -71,6 +76,12 @@
     return hasEnoughSamples() ? mean_ : scaled(target, assumedMean);
 }
 
+Duration ServiceLatency::overdueAge(Duration target) const
+{
+    return hasEnoughSamples() ? mean_ + meanDeviation_ * overdueDeviations
+                              : scaled(target, assumedOverdueAge);
+}
+
 Duration ServiceLatency::percentile90(Duration target) const
 {
     return hasEnoughSamples() ? percentile90_ : scaled(target, assumedPercentile90);
--- a/packages/qz_placement/health/servicelatency.h
+++ b/packages/qz_placement/health/servicelatency.h
@@ -21,6 +21,11 @@
     /// Returns the latency that about 90 % of the answers do not exceed.
     Duration percentile90(Duration target) const;
 
+    /// Returns the age from which an unanswered request is overdue: only about one answer in a
+    /// hundred takes longer. Computed from mean and mean deviation, as the retransmission timeout
+    /// of TCP is (RFC 6298).
+    Duration overdueAge(Duration target) const;
+
     /// Whether the mean latency is much higher than its minimum over the last minutes, which shows
     /// that requests queue at the servers in use.
     bool isCongested() const;
@@ -28,6 +33,7 @@
 private:
     Duration mean_{ 0 }; ///< Zero: no answer yet.
     Duration percentile90_{ 0 };
+    Duration meanDeviation_{ 0 };
     /// Minimum of the mean in the current period and in the previous one; zero: none yet.
     Duration minMean_{ 0 };
     Duration previousMinMean_{ 0 };
--- a/packages/qz_placement/qz_placement.h
+++ b/packages/qz_placement/qz_placement.h
@@ -7,4 +7,5 @@
 #include "qz_placement/health/failureratetracker.h"
 #include "qz_placement/health/serverhealth.h"
 #include "qz_placement/health/servicelatency.h"
+#include "qz_placement/retries/hedging.h"
 #include "qz_placement/retries/retryallowance.h"
