Try the silence of all unanswered requests as evidence

Hypothesis: three requests that wait a little are as telling as one that is overdue. Change: their scores add up, each between the mean (0) and the overdue age (1); time-outs and overtaken attempts count by the same score, so a short deadline is no fault of a server.

--- a/packages/qz_forward/backends/backend.cpp
+++ b/packages/qz_forward/backends/backend.cpp
@@ -53,11 +53,6 @@
     }
 }
 
-std::optional<TimePoint> Backend::oldestRequestStart() const
-{
-    return startTimes_.empty() ? std::nullopt : std::optional(*startTimes_.begin());
-}
-
 Duration Backend::oldestRequestAge(TimePoint now) const
 {
     return startTimes_.empty() ? Duration::zero() : now - *startTimes_.begin();
--- a/packages/qz_forward/backends/backend.h
+++ b/packages/qz_forward/backends/backend.h
@@ -8,7 +8,6 @@
 
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <set>
 #include <vector>
 
@@ -57,8 +56,8 @@
     void endRequest(TimePoint startTime);
     /// Returns the number of requests that the server has not answered yet.
     int inFlight() const { return static_cast<int>(startTimes_.size()); }
-    /// Returns the time when the oldest unanswered request was sent, or nothing if there is none.
-    std::optional<TimePoint> oldestRequestStart() const;
+    /// Returns the times when the unanswered requests were sent.
+    const std::multiset<TimePoint> &requestStarts() const { return startTimes_; }
     /// Returns the age of the oldest unanswered request, or zero if there is none.
     Duration oldestRequestAge(TimePoint now) const;
 
--- a/packages/qz_forward/requests/forwardattempt.cpp
+++ b/packages/qz_forward/requests/forwardattempt.cpp
@@ -140,7 +140,8 @@
     if (result == AttemptResult::Silent || result == AttemptResult::ConnectFailed) {
         server_->closeIdleConnections();
     }
-    request_.forwarder().recordAttempt(*server_, result, elapsed(), request_.isRepeatable());
+    request_.forwarder().recordAttempt(*server_, result, elapsed(), request_.isRepeatable(),
+                                       request_.target());
 }
 
 } // namespace qz
--- a/packages/qz_forward/requests/forwardedrequest.cpp
+++ b/packages/qz_forward/requests/forwardedrequest.cpp
@@ -261,7 +261,7 @@
     candidateServers_.clear();
     for (const auto &server : forwarder_.backends().serversOf(service_)) {
         if (server->isOpen()) {
-            forwarder_.ejectIfOverdue(*server, route_->isRepeatable_, route_->target_);
+            forwarder_.ejectIfSilent(*server, route_->isRepeatable_, route_->target_);
             candidateServers_.push_back(server);
         }
     }
@@ -503,8 +503,9 @@
     for (const auto &attempt : attempts_) {
         if (!attempt->isEnded()) {
             const bool isOverdue = attempt->isHandedOver()
-                    && attempt->elapsed()
-                            > forwarder_.overdueAge(attempt->server(), route_->target_);
+                    && forwarder_.silenceScore(attempt->server(), attempt->elapsed(),
+                                               route_->target_)
+                            >= 1.0;
             endAttempt(*attempt, isOverdue ? AttemptResult::TimedOut : AttemptResult::Cancelled,
                        "");
         }
--- a/packages/qz_forward/requests/forwarder.cpp
+++ b/packages/qz_forward/requests/forwarder.cpp
@@ -71,21 +71,29 @@
     return serverRoleProvider_ ? serverRoleProvider_(server) : ServerRole::Owner;
 }
 
-Duration Forwarder::overdueAge(const Backend &server, Duration target)
+double Forwarder::silenceScore(const Backend &server, Duration age, Duration target)
 {
     const ServiceLatency &latency = latencies_[server.listed().service_];
     const double slowness = std::max(1.0, server.health().relativeLatency(latency.mean(target)));
-    return std::chrono::duration_cast<Duration>(latency.overdueAge(target) * slowness);
+    return latency.silenceScore(std::chrono::duration_cast<Duration>(age / slowness), target);
 }
 
-void Forwarder::ejectIfOverdue(Backend &server, bool isRepeatable, Duration target)
+void Forwarder::ejectIfSilent(Backend &server, bool isRepeatable, Duration target)
 {
     const TimePoint now = loop_.now();
-    if (server.oldestRequestAge(now) <= overdueAge(server, target)
-        || !server.health().recordOverdue(*server.oldestRequestStart(), isRepeatable, now)) {
+    const auto &starts = server.requestStarts();
+    double silence = 0.0;
+    int processed = 0; // The others wait in the server's queue.
+    for (auto start = starts.begin(); start != starts.end() && processed < server.listed().slots_;
+         ++start, ++processed) {
+        silence += std::min(1.0, silenceScore(server, now - *start, target));
+    }
+    if (silence <= 0.0) {
         return;
     }
-    logEjection(server, "overdue");
+    if (server.health().recordSilence(silence, *starts.begin(), isRepeatable, now)) {
+        logEjection(server, "silence");
+    }
 }
 
 void Forwarder::logEjection(const Backend &server, std::string_view cause)
@@ -101,7 +109,7 @@
 }
 
 void Forwarder::recordAttempt(Backend &server, AttemptResult result, Duration elapsed,
-                              bool isRepeatable)
+                              bool isRepeatable, Duration target)
 {
     const TimePoint now = loop_.now();
     const auto previousState = server.health().state(now);
@@ -110,7 +118,8 @@
     if (result == AttemptResult::Answered) {
         latencies_[service].record(elapsed, now);
     }
-    if (server.health().record(result, elapsed, isRepeatable, now)) {
+    if (server.health().record(
+                { result, elapsed, isRepeatable, silenceScore(server, elapsed, target) }, now)) {
         logEjection(server, toString(result));
         if (healthListener_ && isServerFault(result)) {
             healthListener_(server, server.health().ejectedUntil() - now);
--- a/packages/qz_forward/requests/forwarder.h
+++ b/packages/qz_forward/requests/forwarder.h
@@ -94,13 +94,16 @@
     {
         return failureRateTrackers_[service];
     }
-    /// Records how an attempt at @p server ended after @p elapsed.
-    void recordAttempt(Backend &server, AttemptResult result, Duration elapsed, bool isRepeatable);
-    /// Ejects @p server if its oldest unanswered request is overdue. @p target is the target time
-    /// of the request to place.
-    void ejectIfOverdue(Backend &server, bool isRepeatable, Duration target);
-    /// Returns the age from which a request to @p server is overdue.
-    Duration overdueAge(const Backend &server, Duration target);
+    /// Records how an attempt at @p server ended after @p elapsed. @p target is the target time of
+    /// the request.
+    void recordAttempt(Backend &server, AttemptResult result, Duration elapsed, bool isRepeatable,
+                       Duration target);
+    /// Ejects @p server if it does not answer its requests. @p target is the target time of the
+    /// request to place. @see ServerHealth::recordSilence
+    void ejectIfSilent(Backend &server, bool isRepeatable, Duration target);
+    /// Returns the evidence that @p server will not answer a request of @p age; at 1 the request is
+    /// overdue. @see ServiceLatency::silenceScore
+    double silenceScore(const Backend &server, Duration age, Duration target);
     ServerRole serverRole(const Backend &server) const;
     /// Deletes an ended request on the loop's next turn.
     void deleteLater(ForwardedRequest *request);
--- a/packages/qz_forward/tests/backendtabletest.cpp
+++ b/packages/qz_forward/tests/backendtabletest.cpp
@@ -28,7 +28,7 @@
     qz::BackendTable table(loop);
     table.put(makeListed("a", 1));
     const auto before = table.find(idA);
-    before->health().record(qz::AttemptResult::Cut, 1ms, true, loop.now());
+    before->health().record({ qz::AttemptResult::Cut, 1ms, true }, loop.now());
     table.put(makeListed("a", 1));
     BOOST_CHECK(table.find(idA) == before);
     table.put(makeListed("a", 2));
--- a/packages/qz_placement/health/serverhealth.cpp
+++ b/packages/qz_placement/health/serverhealth.cpp
@@ -23,21 +23,22 @@
 
 /// Returns the failure score of one result. Healthy servers occasionally return an error, shed
 /// requests at full load or lose an answer, so these results have a lower score.
-double scoreOf(AttemptResult result, bool isEarly)
+double scoreOf(AttemptResult result, bool isEarly, double silence)
 {
     switch (result) {
     case AttemptResult::Cut:
         return isEarly ? 1.0 : 0.6;
     case AttemptResult::Silent:
-    case AttemptResult::TimedOut:
     case AttemptResult::ConnectFailed:
     case AttemptResult::WrongInstance:
         return 1.0;
     case AttemptResult::ServerError:
         return 0.6;
     case AttemptResult::Shed:
-    case AttemptResult::Overtaken:
         return 0.4;
+    case AttemptResult::TimedOut:
+    case AttemptResult::Overtaken:
+        return silence; // A short deadline is no fault of the server.
     case AttemptResult::Answered:
     case AttemptResult::Cancelled:
         break;
@@ -93,8 +94,10 @@
     return now < ejectedUntil_ ? State::Ejected : State::Trial;
 }
 
-bool ServerHealth::record(AttemptResult result, Duration latency, bool isRepeatable, TimePoint now)
+bool ServerHealth::record(const AttemptEnd &end, TimePoint now)
 {
+    const AttemptResult result = end.result_;
+    const Duration latency = end.latency_;
     if (result == AttemptResult::Cancelled) {
         return false;
     }
@@ -104,7 +107,7 @@
         minLatency_ += std::chrono::duration_cast<Duration>(minLatency_ * minLatencyDrift);
         minLatency_ = minLatency_ == Duration::zero() ? latency : std::min(minLatency_, latency);
         failureScore_ /= 2.0;
-        if (trialsLeft_ > 0 && now - latency == overdueSentAt_) {
+        if (trialsLeft_ > 0 && now - latency == silentSince_) {
             applyReportedRecovery(now);
             return false;
         }
@@ -117,7 +120,7 @@
     }
     // Compared with the fastest latency, because queueing increases the mean latency.
     const bool isEarly = minLatency_ == Duration::zero() || latency < minLatency_ * earlyFraction;
-    failureScore_ += scoreOf(result, isEarly);
+    failureScore_ += scoreOf(result, isEarly, end.silence_);
     const bool isOnTrial = trialsLeft_ > 0;
     if (failureScore_ < ejectionScore && !isOnTrial) {
         return false;
@@ -125,19 +128,21 @@
     // Requests in flight at the start of the ejection fail together and count as one failure.
     const bool wasInFlight = trialsLeft_ > 0 && now - latency < ejectedSince_;
     if (!wasInFlight) {
-        eject(!isRepeatable && isEarly && isServerFault(result), now);
+        eject(!end.isRepeatable_ && isEarly && isServerFault(result), now);
         return true;
     }
     return false;
 }
 
-bool ServerHealth::recordOverdue(TimePoint sentAt, bool isRepeatable, TimePoint now)
+bool ServerHealth::recordSilence(double silence, TimePoint oldestSentAt, bool isRepeatable,
+                                 TimePoint now)
 {
-    if (trialsLeft_ > 0 && sentAt < ejectedSince_) {
-        return false; // Sent before the ejection: no result of a trial.
+    const bool isSentBeforeEjection = trialsLeft_ > 0 && oldestSentAt < ejectedSince_;
+    if (isSentBeforeEjection || failureScore_ + silence < ejectionScore) {
+        return false;
     }
     eject(!isRepeatable, now);
-    overdueSentAt_ = sentAt;
+    silentSince_ = oldestSentAt;
     return true;
 }
 
@@ -148,7 +153,7 @@
     const Duration length = std::max(minTime, nextEjectionTime_);
     ejectedSince_ = now;
     ejectedUntil_ = now + length;
-    overdueSentAt_ = {};
+    silentSince_ = {};
     nextEjectionTime_ = std::min(length * 2, limits_.maxEjectionTime_);
     trialsLeft_ = limits_.trialSuccesses_;
     failureScore_ = 0.0;
--- a/packages/qz_placement/health/serverhealth.h
+++ b/packages/qz_placement/health/serverhealth.h
@@ -28,6 +28,15 @@
 /// failures can be due to the network path from this instance.
 bool isServerFault(AttemptResult result);
 
+/// How a request sent to a backend server ended.
+struct AttemptEnd
+{
+    AttemptResult result_ = AttemptResult::Cancelled;
+    Duration latency_{}; ///< Time from sending the request to its end.
+    bool isRepeatable_ = false;
+    double silence_ = 0.0; ///< ServiceLatency::silenceScore() of the latency.
+};
+
 /// Durations of ejections, and the condition under which a server returns to service.
 struct EjectionLimits
 {
@@ -71,14 +80,16 @@
     /// Start of the current or last ejection.
     TimePoint ejectedSince() const { return ejectedSince_; }
 
-    /// Records the result of a request that ended at @p now after @p latency. Returns true if this
-    /// starts an ejection or restarts the current one.
-    bool record(AttemptResult result, Duration latency, bool isRepeatable, TimePoint now);
+    /// Records the end of a request at @p now. Returns true if this starts an ejection or restarts
+    /// the current one.
+    bool record(const AttemptEnd &end, TimePoint now);
 
-    /// Ejects the server because the request that was sent to it at @p sentAt is overdue. The
-    /// ejection ends early if that request is answered after all. Returns true if this starts an
-    /// ejection or restarts the current one.
-    bool recordOverdue(TimePoint sentAt, bool isRepeatable, TimePoint now);
+    /// Ejects the server if its unanswered requests show that it does not answer: if the recent
+    /// failures and @p silence, the sum of the silence scores of these requests, reach the score of
+    /// an ejection. @p oldestSentAt is the time when the oldest of them was sent; the ejection ends
+    /// early if that request is answered after all. Returns true if this starts an ejection or
+    /// restarts the current one.
+    bool recordSilence(double silence, TimePoint oldestSentAt, bool isRepeatable, TimePoint now);
 
     /// Ejects the server because another instance reported an ejection that ends @p remaining after
     /// @p now. Repeated reports of one ejection restart it, but do not move its end.
@@ -102,8 +113,8 @@
     TimePoint ejectedSince_{};
     Duration nextEjectionTime_{ 0 }; ///< Zero: the next ejection is the first.
     int trialsLeft_ = 0;             ///< Above zero: ejected or on trial.
-    /// Time when the overdue request that caused the ejection was sent; zero: no such request.
-    TimePoint overdueSentAt_{};
+    /// Time when the oldest unanswered request was sent, if silence caused the ejection; else zero.
+    TimePoint silentSince_{};
     Duration meanLatency_{ 0 };      ///< Zero: no answer yet.
     Duration minLatency_{ 0 };       ///< Rises slowly; zero: no answer yet.
 };
--- a/packages/qz_placement/health/servicelatency.cpp
+++ b/packages/qz_placement/health/servicelatency.cpp
@@ -82,6 +82,15 @@
                               : scaled(target, assumedOverdueAge);
 }
 
+double ServiceLatency::silenceScore(Duration age, Duration target) const
+{
+    const Duration typical = mean(target);
+    const Duration range = std::max<Duration>(overdueAge(target) - typical, Duration(1));
+    return std::max(0.0,
+                    std::chrono::duration<double>(age - typical)
+                            / std::chrono::duration<double>(range));
+}
+
 Duration ServiceLatency::percentile90(Duration target) const
 {
     return hasEnoughSamples() ? percentile90_ : scaled(target, assumedPercentile90);
--- a/packages/qz_placement/health/servicelatency.h
+++ b/packages/qz_placement/health/servicelatency.h
@@ -26,6 +26,10 @@
     /// of TCP is (RFC 6298).
     Duration overdueAge(Duration target) const;
 
+    /// Returns the evidence that a request without an answer at @p age will never get one: 0 up to
+    /// the mean latency, 1 at overdueAge(), and in proportion between and beyond.
+    double silenceScore(Duration age, Duration target) const;
+
     /// Whether the mean latency is much higher than its minimum over the last minutes, which shows
     /// that requests queue at the servers in use.
     bool isCongested() const;
--- a/packages/qz_placement/tests/placementtest.cpp
+++ b/packages/qz_placement/tests/placementtest.cpp
@@ -45,7 +45,7 @@
 ServerHealth makeEjected(qz::TimePoint at, bool isRepeatable = true)
 {
     ServerHealth health;
-    health.record(AttemptResult::Cut, 1ms, isRepeatable, at);
+    health.record({ AttemptResult::Cut, 1ms, isRepeatable }, at);
     return health;
 }
 
@@ -101,10 +101,10 @@
 BOOST_AUTO_TEST_CASE(anImmediateResetEjectsAServerButALateResetDoesNot)
 {
     ServerHealth health;
-    BOOST_TEST(!health.record(AttemptResult::Answered, 200ms, false, start));
-    BOOST_TEST(!health.record(AttemptResult::Cut, 190ms, false, start));
+    BOOST_TEST(!health.record({ AttemptResult::Answered, 200ms, false }, start));
+    BOOST_TEST(!health.record({ AttemptResult::Cut, 190ms, false }, start));
     BOOST_CHECK(health.state(start) == ServerHealth::State::Good);
-    BOOST_TEST(health.record(AttemptResult::Cut, 1ms, false, start));
+    BOOST_TEST(health.record({ AttemptResult::Cut, 1ms, false }, start));
     BOOST_CHECK(health.state(start) == ServerHealth::State::Ejected);
 }
 
@@ -112,11 +112,11 @@
 {
     ServerHealth health;
     for (int i = 0; i < 20; ++i) {
-        health.record(AttemptResult::Answered, i % 5 == 0 ? 180ms : 900ms, false, start);
+        health.record({ AttemptResult::Answered, i % 5 == 0 ? 180ms : 900ms, false }, start);
     }
-    BOOST_TEST(!health.record(AttemptResult::Cut, 150ms, false, start));
-    health.record(AttemptResult::Answered, 900ms, false, start);
-    BOOST_TEST(health.record(AttemptResult::Cut, 2ms, false, start));
+    BOOST_TEST(!health.record({ AttemptResult::Cut, 150ms, false }, start));
+    health.record({ AttemptResult::Answered, 900ms, false }, start);
+    BOOST_TEST(health.record({ AttemptResult::Cut, 2ms, false }, start));
 }
 
 BOOST_AUTO_TEST_CASE(twoConsecutiveServerErrorsEjectAServerButRareOnesDoNot)
@@ -124,18 +124,18 @@
     ServerHealth health;
     for (int i = 0; i < 49; ++i) {
         const auto result = i % 10 == 9 ? AttemptResult::ServerError : AttemptResult::Answered;
-        BOOST_TEST(!health.record(result, 200ms, true, start));
+        BOOST_TEST(!health.record({ result, 200ms, true }, start));
     }
-    BOOST_TEST(!health.record(AttemptResult::ServerError, 200ms, true, start));
-    BOOST_TEST(health.record(AttemptResult::ServerError, 200ms, true, start));
+    BOOST_TEST(!health.record({ AttemptResult::ServerError, 200ms, true }, start));
+    BOOST_TEST(health.record({ AttemptResult::ServerError, 200ms, true }, start));
 }
 
 BOOST_AUTO_TEST_CASE(concurrentFailuresCountAsOne)
 {
     ServerHealth health;
-    health.record(AttemptResult::Cut, 1ms, true, start);
+    health.record({ AttemptResult::Cut, 1ms, true }, start);
     const auto until = health.ejectedUntil();
-    BOOST_TEST(!health.record(AttemptResult::Cut, 20ms, true, start + 10ms));
+    BOOST_TEST(!health.record({ AttemptResult::Cut, 20ms, true }, start + 10ms));
     BOOST_CHECK(health.ejectedUntil() == until);
 }
 
@@ -144,7 +144,7 @@
     ServerHealth health = makeEjected(start, false);
     const auto until = health.ejectedUntil();
     const auto now = start + 3s;
-    BOOST_TEST(health.record(AttemptResult::Cut, 1ms, false, now));
+    BOOST_TEST(health.record({ AttemptResult::Cut, 1ms, false }, now));
     BOOST_CHECK(health.ejectedSince() == now);
     BOOST_CHECK(health.ejectedUntil() > until);
 }
@@ -154,15 +154,15 @@
     ServerHealth health = makeEjected(start);
     qz::TimePoint now = health.ejectedUntil();
     BOOST_CHECK(health.state(now) == ServerHealth::State::Trial);
-    BOOST_TEST(health.record(AttemptResult::Cut, 1ms, true, now));
+    BOOST_TEST(health.record({ AttemptResult::Cut, 1ms, true }, now));
     BOOST_CHECK(health.ejectedUntil() - now > qz::EjectionLimits().baseEjectionTime_);
     now = health.ejectedUntil();
-    health.record(AttemptResult::Answered, 200ms, true, now);
+    health.record({ AttemptResult::Answered, 200ms, true }, now);
     BOOST_CHECK(health.state(now) == ServerHealth::State::Trial);
-    health.record(AttemptResult::Answered, 200ms, true, now);
+    health.record({ AttemptResult::Answered, 200ms, true }, now);
     BOOST_CHECK(health.state(now) == ServerHealth::State::Good);
     for (int i = 0; i < 10; ++i) {
-        health.record(AttemptResult::Cut, 1ms, true, health.ejectedUntil());
+        health.record({ AttemptResult::Cut, 1ms, true }, health.ejectedUntil());
     }
     BOOST_CHECK(health.ejectedUntil() - health.ejectedSince()
                 <= qz::EjectionLimits().maxEjectionTime_);
@@ -172,11 +172,11 @@
 {
     ServerHealth health = makeEjected(start, false);
     const auto now = start + 3s;
-    health.record(AttemptResult::Answered, 4s, false, now);
-    health.record(AttemptResult::Answered, 4s, false, now);
+    health.record({ AttemptResult::Answered, 4s, false }, now);
+    health.record({ AttemptResult::Answered, 4s, false }, now);
     BOOST_CHECK(health.state(now) == ServerHealth::State::Ejected);
-    health.record(AttemptResult::Answered, 200ms, false, now);
-    health.record(AttemptResult::Answered, 200ms, false, now);
+    health.record({ AttemptResult::Answered, 200ms, false }, now);
+    health.record({ AttemptResult::Answered, 200ms, false }, now);
     BOOST_CHECK(health.state(now) == ServerHealth::State::Good);
 }
 
--- a/packages/qz_placement/tests/serversimulation.h
+++ b/packages/qz_placement/tests/serversimulation.h
@@ -278,7 +278,7 @@
         ServerView &view = instances_[request.instance_].views_[index];
         view.inFlight_.erase(view.inFlight_.find(sentAt));
         const bool isEjected =
-                view.health_.record(result, now_ - sentAt, load_.isRepeatable_, now_);
+                view.health_.record({ result, now_ - sentAt, load_.isRepeatable_ }, now_);
         const bool isRecovered = view.health_.state(now_) == ServerHealth::State::Good;
         for (Instance &other : instances_) {
             ServerHealth &health = other.views_[index].health_;
