Estimate latencies per route, and send early trials when a route is congested

Cause: estimates were kept per service, while its routes differ a thousandfold in processing time: half of one service's answers came after 2 ms, the others after 400 ms. The mean, the overdue age and the limit below which a reset counts as immediate were those of neither. PlacementRequest::isCongested_ was read but never set by the forwarder. Change: RouteLatency replaces ServiceLatency, one per service and route; it describes the end of an attempt for ServerHealth; relative latencies are taken per route; the forwarder sets isCongested_. Tests of the early reset moved with the decision, as strict as before.

--- a/packages/qz_forward/backends/backend.cpp
+++ b/packages/qz_forward/backends/backend.cpp
@@ -39,23 +39,31 @@
     idle_.clear();
 }
 
-void Backend::beginRequest(TimePoint now)
+void Backend::beginRequest(TimePoint now, TimePoint overdueAt)
 {
-    startTimes_.insert(now);
+    unanswered_.emplace(now, overdueAt);
     lastSent_ = now;
 }
 
 void Backend::endRequest(TimePoint startTime)
 {
-    const auto found = startTimes_.find(startTime);
-    if (found != startTimes_.end()) {
-        startTimes_.erase(found);
+    const auto found = unanswered_.find(startTime);
+    if (found != unanswered_.end()) {
+        unanswered_.erase(found);
     }
 }
 
+std::optional<TimePoint> Backend::overdueRequestStart(TimePoint now) const
+{
+    const auto found =
+            std::find_if(unanswered_.begin(), unanswered_.end(),
+                         [now](const auto &request) { return now > request.second; });
+    return found == unanswered_.end() ? std::nullopt : std::optional(found->first);
+}
+
 Duration Backend::oldestRequestAge(TimePoint now) const
 {
-    return startTimes_.empty() ? Duration::zero() : now - *startTimes_.begin();
+    return unanswered_.empty() ? Duration::zero() : now - unanswered_.begin()->first;
 }
 
 bool Backend::isUsable(const BackendConnection &connection, TimePoint now) const
--- a/packages/qz_forward/backends/backend.h
+++ b/packages/qz_forward/backends/backend.h
@@ -7,8 +7,9 @@
 #include "qz_placement/health/serverhealth.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <vector>
 
 namespace qz {
@@ -48,16 +49,16 @@
     ServerHealth &health() { return health_; }
     const ServerHealth &health() const { return health_; }
 
-    /// Records that a request is sent to the server at @p now.
-    void beginRequest(TimePoint now);
+    /// Records that a request is sent to the server at @p now. From @p overdueAt on it is overdue.
+    void beginRequest(TimePoint now, TimePoint overdueAt);
     /// Returns the time when the last request was sent to the server.
     TimePoint lastSent() const { return lastSent_; }
     /// Records the end of the request that began at @p startTime.
     void endRequest(TimePoint startTime);
     /// Returns the number of requests that the server has not answered yet.
-    int inFlight() const { return static_cast<int>(startTimes_.size()); }
-    /// Returns the times when the unanswered requests were sent.
-    const std::multiset<TimePoint> &requestStarts() const { return startTimes_; }
+    int inFlight() const { return static_cast<int>(unanswered_.size()); }
+    /// Returns the time when an overdue request was sent, or nothing if none is overdue.
+    std::optional<TimePoint> overdueRequestStart(TimePoint now) const;
     /// Returns the age of the oldest unanswered request, or zero if there is none.
     Duration oldestRequestAge(TimePoint now) const;
 
@@ -79,7 +80,8 @@
     EventLoop &loop_;
     ListedBackend listed_;
     ServerHealth health_;
-    std::multiset<TimePoint> startTimes_; ///< Start times of the unanswered requests.
+    /// Times from which the unanswered requests are overdue, by the time when they were sent.
+    std::multimap<TimePoint, TimePoint> unanswered_;
     /// Idle connections; the one that has been idle longest comes first.
     std::vector<std::unique_ptr<BackendConnection>> idle_;
     TimePoint lastSent_{};
--- a/packages/qz_forward/requests/forwardattempt.cpp
+++ b/packages/qz_forward/requests/forwardattempt.cpp
@@ -5,6 +5,7 @@
 #include "qz_forward/requests/forwardedrequest.h"
 #include "qz_forward/requests/forwarder.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace qz {
@@ -23,7 +24,11 @@
     , placement_(placement)
     , startTime_(request.forwarder().loop().now())
 {
-    server_->beginRequest(startTime_);
+    const RouteLatency &latency =
+            request.forwarder().latency(server_->listed().service_, request.route());
+    const double slowness = std::max(1.0, server_->health().relativeLatency());
+    const auto overdueAge = std::chrono::duration_cast<Duration>(latency.overdueAge() * slowness);
+    server_->beginRequest(startTime_, startTime_ + overdueAge);
 }
 
 ForwardAttempt::~ForwardAttempt()
@@ -140,8 +145,7 @@
     if (result == AttemptResult::Silent || result == AttemptResult::ConnectFailed) {
         server_->closeIdleConnections();
     }
-    request_.forwarder().recordAttempt(*server_, result, elapsed(), request_.isRepeatable(),
-                                       request_.target());
+    request_.forwarder().recordAttempt(*server_, result, elapsed(), request_.route());
 }
 
 } // namespace qz
--- a/packages/qz_forward/requests/forwardedrequest.cpp
+++ b/packages/qz_forward/requests/forwardedrequest.cpp
@@ -194,7 +194,6 @@
 std::vector<PlacementCandidate> ForwardedRequest::makeCandidates() const
 {
     const TimePoint now = forwarder_.loop().now();
-    const Duration mean = forwarder_.latency(service_).mean(route_->target_);
     std::vector<PlacementCandidate> candidates;
     candidates.reserve(candidateServers_.size());
     for (const auto &server : candidateServers_) {
@@ -208,7 +207,7 @@
         candidate.serverRole_ = forwarder_.serverRole(*server);
         candidate.slots_ = server->listed().slots_;
         candidate.inFlight_ = server->inFlight();
-        candidate.relativeLatency_ = server->health().relativeLatency(mean);
+        candidate.relativeLatency_ = server->health().relativeLatency();
         candidate.oldestRequestAge_ = server->oldestRequestAge(now);
         candidate.wasAttempted_ =
                 std::any_of(attempts_.begin(), attempts_.end(), [&server](const auto &attempt) {
@@ -225,8 +224,9 @@
     request.isRepeatable_ = route_->isRepeatable_;
     request.target_ = route_->target_;
     request.timeLeft_ = deadline_ - forwarder_.loop().now();
-    const ServiceLatency &latency = forwarder_.latency(service_);
-    request.expectedLatency_ = latency.mean(route_->target_);
+    const RouteLatency &latency = forwarder_.latency(service_, *route_);
+    request.expectedLatency_ = latency.mean();
+    request.isCongested_ = latency.isCongested();
     if (!latency.hasEnoughSamples()) {
         // An assumed response time must not be a reason to reject the request.
         request.expectedLatency_ = std::min(request.expectedLatency_, request.timeLeft_ / 2);
@@ -261,7 +261,7 @@
     candidateServers_.clear();
     for (const auto &server : forwarder_.backends().serversOf(service_)) {
         if (server->isOpen()) {
-            forwarder_.ejectIfSilent(*server, route_->isRepeatable_, route_->target_);
+            forwarder_.ejectIfOverdue(*server, route_->isRepeatable_);
             candidateServers_.push_back(server);
         }
     }
@@ -289,7 +289,7 @@
         return;
     }
     // No second attempt starts before the mean latency. @see shouldHedge
-    hedgingTimer_ = forwarder_.loop().callAfter(forwarder_.latency(service_).mean(route_->target_),
+    hedgingTimer_ = forwarder_.loop().callAfter(forwarder_.latency(service_, *route_).mean(),
                                                 [this] { checkHedging(); });
 }
 
@@ -302,13 +302,13 @@
 HedgingCandidate ForwardedRequest::makeHedgingCandidate(const ForwardAttempt &attempt) const
 {
     const TimePoint now = forwarder_.loop().now();
-    const ServiceLatency &latency = forwarder_.latency(service_);
+    const RouteLatency &latency = forwarder_.latency(service_, *route_);
     HedgingCandidate candidate;
     candidate.age_ = attempt.elapsed();
     candidate.target_ = route_->target_;
-    candidate.meanLatency_ = latency.mean(route_->target_);
-    candidate.percentile90_ = latency.percentile90(route_->target_);
-    candidate.overdueAge_ = latency.overdueAge(route_->target_);
+    candidate.meanLatency_ = latency.mean();
+    candidate.percentile90_ = latency.percentile90();
+    candidate.overdueAge_ = latency.overdueAge();
     candidate.isServerSuspect_ = attempt.server().health().state(now) != ServerHealth::State::Good;
     candidate.usedBudgetShare_ = forwarder_.allowance(service_).usedShare(now);
     return candidate;
@@ -503,9 +503,7 @@
     for (const auto &attempt : attempts_) {
         if (!attempt->isEnded()) {
             const bool isOverdue = attempt->isHandedOver()
-                    && forwarder_.silenceScore(attempt->server(), attempt->elapsed(),
-                                               route_->target_)
-                            >= 1.0;
+                    && attempt->elapsed() > forwarder_.latency(service_, *route_).overdueAge();
             endAttempt(*attempt, isOverdue ? AttemptResult::TimedOut : AttemptResult::Cancelled,
                        "");
         }
@@ -545,7 +543,7 @@
 {
     Duration wait = minRetryAfter;
     if (route_ != nullptr) {
-        wait = std::max(wait, forwarder_.latency(service_).mean(route_->target_));
+        wait = std::max(wait, forwarder_.latency(service_, *route_).mean());
     }
     std::uniform_real_distribution<double> spread(0.75, 1.25);
     return std::min(scaled(wait, spread(forwarder_.random())), maxRetryAfter);
--- a/packages/qz_forward/requests/forwardedrequest.h
+++ b/packages/qz_forward/requests/forwardedrequest.h
@@ -36,8 +36,8 @@
     Forwarder &forwarder() { return forwarder_; }
     const std::string &requestId() const { return requestId_; }
     bool isRepeatable() const { return route_->isRepeatable_; }
-    /// Returns the time within which the response meets its target.
-    Duration target() const { return route_->target_; }
+    /// Returns the route; not before it was found.
+    const RequestRoute &route() const { return *route_; }
     /// Returns the request head to send to @p server.
     HttpHead makeRequestHead(const Backend &server) const;
     /// Returns the part of the body that had arrived when the request was started.
--- a/packages/qz_forward/requests/forwarder.cpp
+++ b/packages/qz_forward/requests/forwarder.cpp
@@ -71,28 +71,18 @@
     return serverRoleProvider_ ? serverRoleProvider_(server) : ServerRole::Owner;
 }
 
-double Forwarder::silenceScore(const Backend &server, Duration age, Duration target)
+RouteLatency &Forwarder::latency(const ServiceId &service, const RequestRoute &route)
 {
-    const ServiceLatency &latency = latencies_[server.listed().service_];
-    const double slowness = std::max(1.0, server.health().relativeLatency(latency.mean(target)));
-    return latency.silenceScore(std::chrono::duration_cast<Duration>(age / slowness), target);
+    RouteLatency &latency = latencies_[{ service, route.name_ }];
+    latency.setTarget(route.target_);
+    return latency;
 }
 
-void Forwarder::ejectIfSilent(Backend &server, bool isRepeatable, Duration target)
+void Forwarder::ejectIfOverdue(Backend &server, bool isRepeatable)
 {
-    const TimePoint now = loop_.now();
-    const auto &starts = server.requestStarts();
-    double silence = 0.0;
-    int processed = 0; // The others wait in the server's queue.
-    for (auto start = starts.begin(); start != starts.end() && processed < server.listed().slots_;
-         ++start, ++processed) {
-        silence += std::min(1.0, silenceScore(server, now - *start, target));
-    }
-    if (silence <= 0.0) {
-        return;
-    }
-    if (server.health().recordSilence(silence, *starts.begin(), isRepeatable, now)) {
-        logEjection(server, "silence");
+    const auto sentAt = server.overdueRequestStart(loop_.now());
+    if (sentAt && server.health().recordOverdue(*sentAt, isRepeatable, loop_.now())) {
+        logEjection(server, "overdue");
     }
 }
 
@@ -109,17 +99,18 @@
 }
 
 void Forwarder::recordAttempt(Backend &server, AttemptResult result, Duration elapsed,
-                              bool isRepeatable, Duration target)
+                              const RequestRoute &route)
 {
     const TimePoint now = loop_.now();
     const auto previousState = server.health().state(now);
     const ServiceId &service = server.listed().service_;
+    RouteLatency &routeLatency = latency(service, route);
     metrics_.countAttempt(service.value(), result);
+    const AttemptEnd end = routeLatency.makeEnd(result, elapsed, route.isRepeatable_);
     if (result == AttemptResult::Answered) {
-        latencies_[service].record(elapsed, now);
+        routeLatency.record(elapsed, now);
     }
-    if (server.health().record(
-                { result, elapsed, isRepeatable, silenceScore(server, elapsed, target) }, now)) {
+    if (server.health().record(end, now)) {
         logEjection(server, toString(result));
         if (healthListener_ && isServerFault(result)) {
             healthListener_(server, server.health().ejectedUntil() - now);
--- a/packages/qz_forward/requests/forwarder.h
+++ b/packages/qz_forward/requests/forwarder.h
@@ -14,7 +14,9 @@
 #include <memory>
 #include <random>
 #include <set>
+#include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace qz {
@@ -87,23 +89,19 @@
         return split_.next(route, random_);
     }
     BackendTable &backends() { return backends_; }
-    ServiceLatency &latency(const ServiceId &service) { return latencies_[service]; }
+    RouteLatency &latency(const ServiceId &service, const RequestRoute &route);
     RetryAllowance &allowance(const ServiceId &service);
     std::mt19937_64 &random() { return random_; }
     FailureRateTracker &failureRateTracker(const ServiceId &service)
     {
         return failureRateTrackers_[service];
     }
-    /// Records how an attempt at @p server ended after @p elapsed. @p target is the target time of
-    /// the request.
-    void recordAttempt(Backend &server, AttemptResult result, Duration elapsed, bool isRepeatable,
-                       Duration target);
-    /// Ejects @p server if it does not answer its requests. @p target is the target time of the
-    /// request to place. @see ServerHealth::recordSilence
-    void ejectIfSilent(Backend &server, bool isRepeatable, Duration target);
-    /// Returns the evidence that @p server will not answer a request of @p age; at 1 the request is
-    /// overdue. @see ServiceLatency::silenceScore
-    double silenceScore(const Backend &server, Duration age, Duration target);
+    /// Records how an attempt at @p server for a request of @p route ended after @p elapsed.
+    void recordAttempt(Backend &server, AttemptResult result, Duration elapsed,
+                       const RequestRoute &route);
+    /// Ejects @p server if a request to it is overdue. @p isRepeatable is whether the request to
+    /// place is. @see ServerHealth::recordOverdue
+    void ejectIfOverdue(Backend &server, bool isRepeatable);
     ServerRole serverRole(const Backend &server) const;
     /// Deletes an ended request on the loop's next turn.
     void deleteLater(ForwardedRequest *request);
@@ -117,7 +115,8 @@
     ForwardMetrics &metrics_;
     std::shared_ptr<const RoutingTable> routes_; ///< Null until a configuration was received.
     TrafficSplit split_;
-    std::map<ServiceId, ServiceLatency> latencies_;
+    /// By service and name of the route.
+    std::map<std::pair<ServiceId, std::string>, RouteLatency> latencies_;
     std::map<ServiceId, RetryAllowance> allowances_;
     double slackPart_ = 0.0;
     std::map<ServiceId, FailureRateTracker> failureRateTrackers_;
--- a/packages/qz_placement/choice/placement.h
+++ b/packages/qz_placement/choice/placement.h
@@ -39,10 +39,10 @@
     bool isRepeatable_ = false;
     Duration target_{};          ///< Time within which the answer meets its target.
     Duration timeLeft_{};        ///< Time until the deadline.
-    Duration expectedLatency_{}; ///< Mean latency of the service.
+    Duration expectedLatency_{}; ///< Mean latency of the route. @see RouteLatency
     /// Many requests of the service fail: use all its servers. @see spreadFailureRate
     bool shouldSpread_ = false;
-    /// Requests queue at the servers in use: ejected ones get early trials. @see ServiceLatency
+    /// Requests queue at the servers in use: ejected ones get early trials. @see RouteLatency
     bool isCongested_ = false;
 };
 
--- a/packages/qz_placement/health/serverhealth.cpp
+++ b/packages/qz_placement/health/serverhealth.cpp
@@ -10,24 +10,16 @@
 /// Failure score at which a server is ejected.
 constexpr double ejectionScore = 1.0;
 
-/// Weight of a new answer in the mean latency.
+/// Weight of a new answer in the mean relative latency.
 constexpr double latencyGain = 0.25;
 
-/// A connection that breaks earlier than this fraction of the fastest latency has refused the
-/// request rather than lost its answer.
-constexpr double earlyFraction = 0.5;
-
-/// Relative increase of the fastest latency with each answer, so that a single unusually fast
-/// answer loses its effect.
-constexpr double minLatencyDrift = 0.01;
-
 /// Returns the failure score of one result. Healthy servers occasionally return an error, shed
 /// requests at full load or lose an answer, so these results have a lower score.
-double scoreOf(AttemptResult result, bool isEarly, double silence)
+double scoreOf(const AttemptEnd &end)
 {
-    switch (result) {
+    switch (end.result_) {
     case AttemptResult::Cut:
-        return isEarly ? 1.0 : 0.6;
+        return end.isEarly_ ? 1.0 : 0.6;
     case AttemptResult::Silent:
     case AttemptResult::ConnectFailed:
     case AttemptResult::WrongInstance:
@@ -38,7 +30,7 @@
         return 0.4;
     case AttemptResult::TimedOut:
     case AttemptResult::Overtaken:
-        return silence; // A short deadline is no fault of the server.
+        return end.silence_; // A short deadline is no fault of the server.
     case AttemptResult::Answered:
     case AttemptResult::Cancelled:
         break;
@@ -102,12 +94,11 @@
         return false;
     }
     if (result == AttemptResult::Answered) {
-        const double gain = meanLatency_ == Duration::zero() ? 1.0 : latencyGain;
-        meanLatency_ += std::chrono::duration_cast<Duration>((latency - meanLatency_) * gain);
-        minLatency_ += std::chrono::duration_cast<Duration>(minLatency_ * minLatencyDrift);
-        minLatency_ = minLatency_ == Duration::zero() ? latency : std::min(minLatency_, latency);
+        relativeLatency_ += (end.relativeLatency_ - relativeLatency_)
+                * (hasAnswered_ ? latencyGain : 1.0);
+        hasAnswered_ = true;
         failureScore_ /= 2.0;
-        if (trialsLeft_ > 0 && now - latency == silentSince_) {
+        if (trialsLeft_ > 0 && now - latency == overdueSentAt_) {
             applyReportedRecovery(now);
             return false;
         }
@@ -118,9 +109,7 @@
         }
         return false;
     }
-    // Compared with the fastest latency, because queueing increases the mean latency.
-    const bool isEarly = minLatency_ == Duration::zero() || latency < minLatency_ * earlyFraction;
-    failureScore_ += scoreOf(result, isEarly, end.silence_);
+    failureScore_ += scoreOf(end);
     const bool isOnTrial = trialsLeft_ > 0;
     if (failureScore_ < ejectionScore && !isOnTrial) {
         return false;
@@ -128,21 +117,19 @@
     // Requests in flight at the start of the ejection fail together and count as one failure.
     const bool wasInFlight = trialsLeft_ > 0 && now - latency < ejectedSince_;
     if (!wasInFlight) {
-        eject(!end.isRepeatable_ && isEarly && isServerFault(result), now);
+        eject(!end.isRepeatable_ && end.isEarly_ && isServerFault(result), now);
         return true;
     }
     return false;
 }
 
-bool ServerHealth::recordSilence(double silence, TimePoint oldestSentAt, bool isRepeatable,
-                                 TimePoint now)
+bool ServerHealth::recordOverdue(TimePoint sentAt, bool isRepeatable, TimePoint now)
 {
-    const bool isSentBeforeEjection = trialsLeft_ > 0 && oldestSentAt < ejectedSince_;
-    if (isSentBeforeEjection || failureScore_ + silence < ejectionScore) {
-        return false;
+    if (trialsLeft_ > 0 && sentAt < ejectedSince_) {
+        return false; // Sent before the ejection: no result of a trial.
     }
     eject(!isRepeatable, now);
-    silentSince_ = oldestSentAt;
+    overdueSentAt_ = sentAt;
     return true;
 }
 
@@ -153,7 +140,7 @@
     const Duration length = std::max(minTime, nextEjectionTime_);
     ejectedSince_ = now;
     ejectedUntil_ = now + length;
-    silentSince_ = {};
+    overdueSentAt_ = {};
     nextEjectionTime_ = std::min(length * 2, limits_.maxEjectionTime_);
     trialsLeft_ = limits_.trialSuccesses_;
     failureScore_ = 0.0;
@@ -174,12 +161,4 @@
     nextEjectionTime_ = Duration::zero();
 }
 
-double ServerHealth::relativeLatency(Duration expected) const
-{
-    if (meanLatency_ == Duration::zero() || expected <= Duration::zero()) {
-        return 1.0;
-    }
-    return std::chrono::duration<double>(meanLatency_) / std::chrono::duration<double>(expected);
-}
-
 } // namespace qz
--- a/packages/qz_placement/health/serverhealth.h
+++ b/packages/qz_placement/health/serverhealth.h
@@ -28,13 +28,15 @@
 /// failures can be due to the network path from this instance.
 bool isServerFault(AttemptResult result);
 
-/// How a request sent to a backend server ended.
+/// How a request sent to a backend server ended. @see RouteLatency::makeEnd
 struct AttemptEnd
 {
     AttemptResult result_ = AttemptResult::Cancelled;
     Duration latency_{}; ///< Time from sending the request to its end.
     bool isRepeatable_ = false;
-    double silence_ = 0.0; ///< ServiceLatency::silenceScore() of the latency.
+    double relativeLatency_ = 1.0; ///< The latency divided by the mean latency of the route.
+    double silence_ = 0.0;         ///< RouteLatency::silenceScore() of the latency.
+    bool isEarly_ = false;         ///< RouteLatency::isEarly() of the latency.
 };
 
 /// Durations of ejections, and the condition under which a server returns to service.
@@ -84,12 +86,10 @@
     /// the current one.
     bool record(const AttemptEnd &end, TimePoint now);
 
-    /// Ejects the server if its unanswered requests show that it does not answer: if the recent
-    /// failures and @p silence, the sum of the silence scores of these requests, reach the score of
-    /// an ejection. @p oldestSentAt is the time when the oldest of them was sent; the ejection ends
-    /// early if that request is answered after all. Returns true if this starts an ejection or
-    /// restarts the current one.
-    bool recordSilence(double silence, TimePoint oldestSentAt, bool isRepeatable, TimePoint now);
+    /// Ejects the server because the request that was sent to it at @p sentAt is overdue. The
+    /// ejection ends early if that request is answered after all. Returns true if this starts an
+    /// ejection or restarts the current one.
+    bool recordOverdue(TimePoint sentAt, bool isRepeatable, TimePoint now);
 
     /// Ejects the server because another instance reported an ejection that ends @p remaining after
     /// @p now. Repeated reports of one ejection restart it, but do not move its end.
@@ -97,8 +97,8 @@
     /// Ends the ejection or trial because another instance reported that the server answers again.
     void applyReportedRecovery(TimePoint now);
 
-    /// Mean latency of recent answers divided by @p expected; 1 before the first answer.
-    double relativeLatency(Duration expected) const;
+    /// Mean of the recent answers' AttemptEnd::relativeLatency_; 1 before the first answer.
+    double relativeLatency() const { return relativeLatency_; }
 
     /// Sum of recent failures, weighted by how rare they are on a healthy server. Each answer
     /// halves it.
@@ -113,10 +113,10 @@
     TimePoint ejectedSince_{};
     Duration nextEjectionTime_{ 0 }; ///< Zero: the next ejection is the first.
     int trialsLeft_ = 0;             ///< Above zero: ejected or on trial.
-    /// Time when the oldest unanswered request was sent, if silence caused the ejection; else zero.
-    TimePoint silentSince_{};
-    Duration meanLatency_{ 0 };      ///< Zero: no answer yet.
-    Duration minLatency_{ 0 };       ///< Rises slowly; zero: no answer yet.
+    /// Time when the overdue request was sent that caused the ejection; zero: another cause.
+    TimePoint overdueSentAt_{};
+    double relativeLatency_ = 1.0;
+    bool hasAnswered_ = false;
 };
 
 } // namespace qz
--- a/packages/qz_placement/qz_placement.h
+++ b/packages/qz_placement/qz_placement.h
@@ -5,7 +5,7 @@
 #include "qz_placement/choice/placement.h"
 #include "qz_placement/choice/serverroles.h"
 #include "qz_placement/health/failureratetracker.h"
+#include "qz_placement/health/routelatency.h"
 #include "qz_placement/health/serverhealth.h"
-#include "qz_placement/health/servicelatency.h"
 #include "qz_placement/retries/hedging.h"
 #include "qz_placement/retries/retryallowance.h"
--- a/packages/qz_placement/retries/hedging.h
+++ b/packages/qz_placement/retries/hedging.h
@@ -10,7 +10,7 @@
 {
     Duration age_{};    ///< Time since the attempt was sent.
     Duration target_{}; ///< Target time of the request.
-    /// Estimates for the service. @see ServiceLatency
+    /// Estimates for the route. @see RouteLatency
     Duration meanLatency_{};
     Duration percentile90_{};
     Duration overdueAge_{};
--- a/packages/qz_placement/tests/placementtest.cpp
+++ b/packages/qz_placement/tests/placementtest.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <random>
+
 using namespace std::chrono_literals;
 using qz::AttemptResult;
 using qz::Distance;
@@ -41,11 +43,17 @@
     return placement->index_;
 }
 
+/// A connection reset before the server can have worked on the request.
+qz::AttemptEnd makeReset(qz::Duration latency, bool isRepeatable)
+{
+    return { AttemptResult::Cut, latency, isRepeatable, 1.0, 0.0, true };
+}
+
 /// The health of a server that was ejected at @p at.
 ServerHealth makeEjected(qz::TimePoint at, bool isRepeatable = true)
 {
     ServerHealth health;
-    health.record({ AttemptResult::Cut, 1ms, isRepeatable }, at);
+    health.record(makeReset(1ms, isRepeatable), at);
     return health;
 }
 
@@ -101,22 +109,27 @@
 BOOST_AUTO_TEST_CASE(anImmediateResetEjectsAServerButALateResetDoesNot)
 {
     ServerHealth health;
-    BOOST_TEST(!health.record({ AttemptResult::Answered, 200ms, false }, start));
-    BOOST_TEST(!health.record({ AttemptResult::Cut, 190ms, false }, start));
+    qz::RouteLatency latency;
+    latency.record(200ms, start);
+    BOOST_TEST(!health.record(latency.makeEnd(AttemptResult::Answered, 200ms, false), start));
+    BOOST_TEST(!health.record(latency.makeEnd(AttemptResult::Cut, 190ms, false), start));
     BOOST_CHECK(health.state(start) == ServerHealth::State::Good);
-    BOOST_TEST(health.record({ AttemptResult::Cut, 1ms, false }, start));
+    BOOST_TEST(health.record(latency.makeEnd(AttemptResult::Cut, 1ms, false), start));
     BOOST_CHECK(health.state(start) == ServerHealth::State::Ejected);
 }
 
 BOOST_AUTO_TEST_CASE(queuedAnswersDoNotMakeALateResetCountAsImmediate)
 {
     ServerHealth health;
+    qz::RouteLatency latency;
     for (int i = 0; i < 20; ++i) {
-        health.record({ AttemptResult::Answered, i % 5 == 0 ? 180ms : 900ms, false }, start);
+        const auto answered = i % 5 == 0 ? 180ms : 900ms;
+        health.record(latency.makeEnd(AttemptResult::Answered, answered, false), start);
+        latency.record(answered, start);
     }
-    BOOST_TEST(!health.record({ AttemptResult::Cut, 150ms, false }, start));
-    health.record({ AttemptResult::Answered, 900ms, false }, start);
-    BOOST_TEST(health.record({ AttemptResult::Cut, 2ms, false }, start));
+    BOOST_TEST(!health.record(latency.makeEnd(AttemptResult::Cut, 150ms, false), start));
+    health.record(latency.makeEnd(AttemptResult::Answered, 900ms, false), start);
+    BOOST_TEST(health.record(latency.makeEnd(AttemptResult::Cut, 2ms, false), start));
 }
 
 BOOST_AUTO_TEST_CASE(twoConsecutiveServerErrorsEjectAServerButRareOnesDoNot)
@@ -133,9 +146,9 @@
 BOOST_AUTO_TEST_CASE(concurrentFailuresCountAsOne)
 {
     ServerHealth health;
-    health.record({ AttemptResult::Cut, 1ms, true }, start);
+    health.record(makeReset(1ms, true), start);
     const auto until = health.ejectedUntil();
-    BOOST_TEST(!health.record({ AttemptResult::Cut, 20ms, true }, start + 10ms));
+    BOOST_TEST(!health.record(makeReset(20ms, true), start + 10ms));
     BOOST_CHECK(health.ejectedUntil() == until);
 }
 
@@ -144,7 +157,7 @@
     ServerHealth health = makeEjected(start, false);
     const auto until = health.ejectedUntil();
     const auto now = start + 3s;
-    BOOST_TEST(health.record({ AttemptResult::Cut, 1ms, false }, now));
+    BOOST_TEST(health.record(makeReset(1ms, false), now));
     BOOST_CHECK(health.ejectedSince() == now);
     BOOST_CHECK(health.ejectedUntil() > until);
 }
@@ -154,7 +167,7 @@
     ServerHealth health = makeEjected(start);
     qz::TimePoint now = health.ejectedUntil();
     BOOST_CHECK(health.state(now) == ServerHealth::State::Trial);
-    BOOST_TEST(health.record({ AttemptResult::Cut, 1ms, true }, now));
+    BOOST_TEST(health.record(makeReset(1ms, true), now));
     BOOST_CHECK(health.ejectedUntil() - now > qz::EjectionLimits().baseEjectionTime_);
     now = health.ejectedUntil();
     health.record({ AttemptResult::Answered, 200ms, true }, now);
@@ -162,7 +175,7 @@
     health.record({ AttemptResult::Answered, 200ms, true }, now);
     BOOST_CHECK(health.state(now) == ServerHealth::State::Good);
     for (int i = 0; i < 10; ++i) {
-        health.record({ AttemptResult::Cut, 1ms, true }, health.ejectedUntil());
+        health.record(makeReset(1ms, true), health.ejectedUntil());
     }
     BOOST_CHECK(health.ejectedUntil() - health.ejectedSince()
                 <= qz::EjectionLimits().maxEjectionTime_);
@@ -376,14 +389,17 @@
 
 BOOST_AUTO_TEST_CASE(latencyEstimatesFollowTheAnswers)
 {
-    qz::ServiceLatency latency;
-    BOOST_CHECK(latency.mean(1s) == 350ms);
+    qz::RouteLatency latency;
+    latency.setTarget(1s);
+    BOOST_CHECK(latency.mean() == 350ms);
     for (int i = 0; i < 400; ++i) {
         latency.record(std::chrono::milliseconds(100 + 10 * (i % 20)), start);
     }
+    BOOST_CHECK(latency.mean() > 150ms && latency.mean() < 240ms);
+    BOOST_CHECK(latency.percentile90() > 220ms && latency.percentile90() < 400ms);
+    BOOST_TEST(latency.isEarly(40ms));
+    BOOST_TEST(!latency.isEarly(90ms));
     BOOST_TEST(!latency.isCongested());
-    BOOST_CHECK(latency.mean(1s) > 150ms && latency.mean(1s) < 240ms);
-    BOOST_CHECK(latency.percentile90(1s) > 220ms && latency.percentile90(1s) < 400ms);
     for (int i = 0; i < 40; ++i) {
         latency.record(500ms, start + 30s);
     }
@@ -395,3 +411,80 @@
     latency.record(500ms, start + 6min);
     BOOST_TEST(!latency.isCongested());
 }
+
+BOOST_AUTO_TEST_CASE(aboutOneAnswerInAHundredIsOverdue)
+{
+    // Lognormal processing times, as those of typical servers.
+    std::mt19937 random(7);
+    std::lognormal_distribution<double> spread(-0.045, 0.3);
+    qz::RouteLatency latency;
+    latency.setTarget(1s);
+    int overdue = 0;
+    constexpr int answers = 20000;
+    for (int i = 0; i < answers; ++i) {
+        const auto took = std::chrono::duration_cast<qz::Duration>(240ms * spread(random));
+        overdue += latency.silenceScore(took) >= 1.0 ? 1 : 0;
+        latency.record(took, start);
+    }
+    BOOST_TEST(overdue > answers / 300);
+    BOOST_TEST(overdue < answers / 50);
+    BOOST_TEST(latency.silenceScore(latency.mean()) == 0.0);
+}
+
+BOOST_AUTO_TEST_CASE(anOverdueRequestEjectsAServerUntilItIsAnswered)
+{
+    ServerHealth health;
+    const auto now = start + 500ms;
+    BOOST_TEST(health.recordOverdue(start, false, now));
+    BOOST_CHECK(health.state(now) == ServerHealth::State::Ejected);
+    // Another answer to a request from before the ejection says little about the overdue one.
+    health.record({ AttemptResult::Answered, 200ms, false }, now + 100ms);
+    BOOST_CHECK(health.state(now + 100ms) == ServerHealth::State::Ejected);
+    health.record({ AttemptResult::Answered, 700ms, false }, start + 700ms);
+    BOOST_CHECK(health.state(start + 700ms) == ServerHealth::State::Good);
+}
+
+BOOST_AUTO_TEST_CASE(anOverdueTrialRestartsTheEjectionButOlderRequestsDoNot)
+{
+    ServerHealth health = makeEjected(start);
+    const auto now = health.ejectedUntil();
+    BOOST_TEST(!health.recordOverdue(start - 100ms, true, now));
+    BOOST_CHECK(health.state(now) == ServerHealth::State::Trial);
+    BOOST_TEST(health.recordOverdue(now, true, now + 500ms));
+    BOOST_CHECK(health.state(now + 500ms) == ServerHealth::State::Ejected);
+}
+
+BOOST_AUTO_TEST_CASE(aShortDeadlineIsNoFaultOfTheServer)
+{
+    qz::RouteLatency latency;
+    for (int i = 0; i < 20; ++i) {
+        latency.record(300ms, start);
+    }
+    ServerHealth health;
+    for (int i = 0; i < 10; ++i) {
+        BOOST_TEST(!health.record(latency.makeEnd(AttemptResult::TimedOut, 50ms, true), start));
+    }
+    BOOST_TEST(health.record(latency.makeEnd(AttemptResult::TimedOut, 2s, true), start));
+}
+
+BOOST_AUTO_TEST_CASE(hedgesEarlierWithMoreBudgetAndForSuspectServers)
+{
+    qz::HedgingCandidate candidate;
+    candidate.target_ = 1s;
+    candidate.meanLatency_ = 300ms;
+    candidate.percentile90_ = 650ms;
+    candidate.overdueAge_ = 1100ms;
+    candidate.age_ = 600ms;
+    BOOST_TEST(shouldHedge(candidate));
+    candidate.usedBudgetShare_ = 0.9;
+    BOOST_TEST(!shouldHedge(candidate));
+    candidate.isServerSuspect_ = true;
+    BOOST_TEST(shouldHedge(candidate));
+    candidate.isServerSuspect_ = false;
+    candidate.age_ = 1s; // Too late for the target: only the budget itself limits the attempt.
+    BOOST_TEST(shouldHedge(candidate));
+    candidate.usedBudgetShare_ = 0.0;
+    candidate.age_ = 200ms;
+    BOOST_TEST(!shouldHedge(candidate));
+}
+
--- a/packages/qz_placement/tests/serversimulation.h
+++ b/packages/qz_placement/tests/serversimulation.h
@@ -121,10 +121,11 @@
             : allowance_({ 0.2, 56.0, std::chrono::seconds(10) }, 1.0 / load.instances_)
             , views_(static_cast<std::size_t>(load.servers_))
         {
+            latency_.setTarget(load.target_);
         }
 
         RetryAllowance allowance_;
-        ServiceLatency latency_;
+        RouteLatency latency_;
         FailureRateTracker failureRateTracker_;
         std::vector<ServerView> views_;
     };
@@ -189,7 +190,7 @@
         result.isRepeatable_ = load_.isRepeatable_;
         result.target_ = load_.target_;
         result.timeLeft_ = request.arrivedAt_ + load_.timeout_ - now_;
-        result.expectedLatency_ = instance.latency_.mean(load_.target_);
+        result.expectedLatency_ = instance.latency_.mean();
         result.isCongested_ = instance.latency_.isCongested();
         result.shouldSpread_ = instance.failureRateTracker_.failureRate(now_) > spreadFailureRate;
         return result;
@@ -209,8 +210,7 @@
         candidate.lastSent_ = view.lastSent_;
         candidate.slots_ = load_.slots_;
         candidate.inFlight_ = static_cast<int>(view.inFlight_.size());
-        candidate.relativeLatency_ =
-                view.health_.relativeLatency(instance.latency_.mean(load_.target_));
+        candidate.relativeLatency_ = view.health_.relativeLatency();
         candidate.oldestRequestAge_ =
                 view.inFlight_.empty() ? Duration::zero() : now_ - view.inFlight_.begin()->first;
         candidate.wasAttempted_ =
@@ -278,7 +278,9 @@
         ServerView &view = instances_[request.instance_].views_[index];
         view.inFlight_.erase(view.inFlight_.find(sentAt));
         const bool isEjected =
-                view.health_.record({ result, now_ - sentAt, load_.isRepeatable_ }, now_);
+                view.health_.record(instances_[request.instance_].latency_.makeEnd(
+                                            result, now_ - sentAt, load_.isRepeatable_),
+                                    now_);
         const bool isRecovered = view.health_.state(now_) == ServerHealth::State::Good;
         for (Instance &other : instances_) {
             ServerHealth &health = other.views_[index].health_;
