End answers that have no end, and never take a late copy for an answer

A late second copy of another request's answer, without length and ended by the connection, counted as the end of the answer that was due: the caller got a reply with status 0 at once. A long body that may not be streamed (a failure, or a success without seal) was collected without bound until the deadline. Interim answers were parsed by recursion, one level each, without a limit; answers to other requests were skipped without a limit. Change: a skipped answer that ends with its connection is a cut; a body over 64 KiB that can't be passed on, more than 8 interim answers, and more than 4 answers or 1 MiB for other requests end the connection, the server is judged as by a cut, and the caller is told 502 or served by another server at once. Heads were bounded already. Not bounded in time: a well-formed head with seal whose body never ends is passed on, with bounded memory, until the caller closes.

--- a/packages/qz_forward/backends/backend.cpp
+++ b/packages/qz_forward/backends/backend.cpp
@@ -55,9 +55,8 @@
 
 std::optional<TimePoint> Backend::overdueRequestStart(TimePoint now) const
 {
-    const auto found =
-            std::find_if(unanswered_.begin(), unanswered_.end(),
-                         [now](const auto &request) { return now > request.second; });
+    const auto found = std::find_if(unanswered_.begin(), unanswered_.end(),
+                                    [now](const auto &request) { return now > request.second; });
     return found == unanswered_.end() ? std::nullopt : std::optional(found->first);
 }
 
--- a/packages/qz_forward/requests/forwardattempt.cpp
+++ b/packages/qz_forward/requests/forwardattempt.cpp
@@ -111,8 +111,14 @@
         return;
     }
     responseBody_.append(data);
-    if (responseBody_.size() > responseBufferBytes && request_.startStreaming(*this)) {
+    if (responseBody_.size() <= responseBufferBytes) {
+        return;
+    }
+    if (request_.startStreaming(*this)) {
         request_.streamResponse(*this, std::exchange(responseBody_, {}));
+    } else {
+        responseBody_.clear();
+        connection_->rejectAnswer("a long response that can't be passed on");
     }
 }
 
--- a/packages/qz_forward/requests/forwarder.cpp
+++ b/packages/qz_forward/requests/forwarder.cpp
@@ -94,7 +94,8 @@
         { { "server", server.listed().id_.value() },
           { "service", server.listed().service_.value() },
           { "cause", cause },
-          { "hold_ms", std::chrono::duration_cast<std::chrono::milliseconds>(ejectionTime).count() },
+          { "hold_ms",
+            std::chrono::duration_cast<std::chrono::milliseconds>(ejectionTime).count() },
           { "in_flight", server.inFlight() } });
 }
 
--- a/packages/qz_forward/tests/forwardertest.cpp
+++ b/packages/qz_forward/tests/forwardertest.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <memory>
+#include <utility>
 
 using namespace std::chrono_literals;
 using namespace qz::testing;
@@ -333,6 +334,109 @@
     BOOST_TEST(contains(response, "\r\n\r\nok"));
 }
 
+BOOST_AUTO_TEST_CASE(endOfALateResponseWithoutLengthIsNoResponse)
+{
+    // The server sends a second copy of an earlier response, without length, and closes.
+    Fixture fixture;
+    fixture.setRoute(false);
+    fixture.addServer("a", [](bufferevent *stream, int /*reads*/) {
+        const std::string late = "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Seal: o\r\n\r\nother";
+        const int sent = static_cast<int>(
+                send(bufferevent_getfd(stream), late.data(), late.size(), MSG_NOSIGNAL));
+        BOOST_TEST(sent == static_cast<int>(late.size()));
+        bufferevent_free(stream);
+    });
+    const std::string response = fixture.sendRequest();
+    BOOST_TEST(statusOf(response) == 502);
+    BOOST_TEST(!contains(response, "other"));
+}
+
+namespace {
+
+/// Writes @p start once, then @p piece again and again, as fast as it is read.
+RawServer::Script flood(const std::string &start, const std::string &piece)
+{
+    return [start, piece](bufferevent *stream, int /*reads*/) {
+        bufferevent_data_cb read = nullptr;
+        bufferevent_event_cb event = nullptr;
+        void *owner = nullptr;
+        bufferevent_getcb(stream, &read, nullptr, &event, &owner);
+        static std::string nextPiece; // The callback has no room for it.
+        nextPiece = piece;
+        const auto writeNext = [](bufferevent *flooded, void * /*owner*/) {
+            write(flooded, nextPiece);
+        };
+        bufferevent_setcb(stream, read, writeNext, event, owner);
+        write(stream, start + piece);
+    };
+}
+
+std::string repeat(const std::string &text, std::size_t count)
+{
+    std::string result;
+    for (std::size_t i = 0; i < count; ++i) {
+        result += text;
+    }
+    return result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(bytesWithoutEndEndTheAttemptAtOnce)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string late =
+            "HTTP/1.1 200 OK\r\nX-Id: 2\r\nX-Seal: s\r\nContent-Length: 1\r\n\r\n.";
+    const std::string unsealed = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n";
+    const std::string failed = "HTTP/1.1 500 Failed\r\nX-Id: 1\r\nX-Seal: s\r\n";
+    const std::string chunk = "400\r\n" + std::string(1024, 'x') + "\r\n";
+    const std::pair<std::string, std::string> floods[] = {
+        { "", std::string(65536, 'x') },
+        { "HTTP/1.1 200 OK\r\n", repeat("X-Field: value\r\n", 4096) },
+        { "HTTP/1.1 200 OK\r\nX-Field: ", std::string(65536, 'x') },
+        { interim, repeat(interim, 10000) },
+        { late, repeat(late, 1000) },
+        { unsealed + "\r\n", std::string(65536, 'x') },
+        { unsealed + "Transfer-Encoding: chunked\r\n\r\n", repeat(chunk, 64) },
+        { failed + "Content-Length: 1000000000000\r\n\r\n", std::string(65536, 'x') },
+    };
+    for (const bool isRepeatable : { true, false }) {
+        for (const auto &[start, piece] : floods) {
+            Fixture fixture;
+            fixture.setRoute(isRepeatable, 5s);
+            fixture.addServer("a", flood(start, piece));
+            fixture.addServer("b", respondWith(successResponse));
+            const std::string response = fixture.sendRequest();
+            BOOST_TEST(statusOf(response) == (isRepeatable ? 200 : 502),
+                       start.substr(0, 60) << " " << isRepeatable << " " << response.substr(0, 80));
+            BOOST_TEST(fixture.backends_.find(qz::BackendServerId("a"))->inFlight() == 0);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(bytesWithoutEndThatComeSlowlyEndWithTheRequest)
+{
+    for (const std::string start :
+         { "HTTP/1.1 2", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\nX-Field: ",
+           "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n" }) {
+        Fixture fixture;
+        fixture.setRoute(false, 300ms);
+        std::vector<qz::Timers::HandlePtr> drips;
+        fixture.addServer("a", [&](bufferevent *stream, int reads) {
+            if (reads == 1) {
+                write(stream, start);
+                drips.push_back(fixture.loop_.callEvery(20ms, [stream] { write(stream, "x"); }));
+            }
+        });
+        const std::string response = fixture.sendRequest(250ms);
+        BOOST_TEST(statusOf(response) == 0);
+        drips.clear(); // The server's stream is gone once the request has ended.
+        fixture.loop_.runFor(120ms);
+        BOOST_TEST(statusOf(fixture.client_->received()) == 504, start);
+        BOOST_TEST(fixture.backends_.find(qz::BackendServerId("a"))->inFlight() == 0);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(surplusResponseIsDiscarded)
 {
     Fixture fixture;
--- a/packages/qz_http/stream/backendconnection.cpp
+++ b/packages/qz_http/stream/backendconnection.cpp
@@ -20,6 +20,9 @@
 namespace {
 
 constexpr std::size_t answerHeadLimitBytes = std::size_t(64) * 1024;
+/// Answers to other requests that a connection may bring before the one that is due.
+constexpr int maxSkippedAnswers = 4;
+constexpr std::size_t maxSkippedBytes = std::size_t(1024) * 1024;
 constexpr std::size_t inputLimitBytes = std::size_t(256) * 1024;
 
 /// The "timeout" parameter of a Keep-Alive field; zero if there is none.
@@ -69,6 +72,8 @@
     isRequestEnded_ = false;
     isAnswerKeptAlive_ = true;
     isSkipping_ = false;
+    skippedAnswers_ = 0;
+    skippedBytes_ = 0;
     parser_.reset(head.method_ == "HEAD");
     sentFraming_ = head.framing_;
     const std::string text = formatRequestHead(head);
@@ -144,7 +149,9 @@
         return;
     }
     const int reason = EVUTIL_SOCKET_ERROR();
-    if ((events & BEV_EVENT_EOF) != 0 && connection.parser_.endOfStream()) {
+    const bool isAnswerEnd = (events & BEV_EVENT_EOF) != 0 && connection.parser_.endOfStream();
+    // An answer to another request that ends with the connection leaves this one without any.
+    if (isAnswerEnd && !connection.isSkipping_) {
         connection.isFailed_ = true;
         connection.listener_->takeAnswerEnd();
         return;
@@ -180,8 +187,17 @@
         evbuffer_drain(input, consumed.value());
         if (parser_.hasEnded() && isSkipping_) {
             isSkipping_ = false;
+            ++skippedAnswers_;
             parser_.reset();
-        } else if (parser_.hasEnded()) {
+        }
+        if (skippedAnswers_ > maxSkippedAnswers || skippedBytes_ > maxSkippedBytes) {
+            rejectAnswer("answers to other requests without end");
+        }
+        if (!rejection_.empty()) {
+            fail(ErrorKind::AnswerMismatch, rejection_);
+            return;
+        }
+        if (parser_.hasEnded()) {
             idleSince_ = loop_.now();
             listener_->takeAnswerEnd();
             return;
@@ -209,7 +225,9 @@
 
 void BackendConnection::takeBody(std::string_view data)
 {
-    if (!isSkipping_) {
+    if (isSkipping_) {
+        skippedBytes_ += data.size();
+    } else {
         listener_->takeAnswerBody(data);
     }
 }
--- a/packages/qz_http/stream/backendconnection.h
+++ b/packages/qz_http/stream/backendconnection.h
@@ -61,9 +61,13 @@
     std::size_t unsentBytes() const;
 
     /// Drops what was received of the current answer, which belongs to another request, and
-    /// waits for the next one.
+    /// waits for the next one. Only a few small answers are skipped: after that the connection
+    /// fails with AnswerMismatch.
     void skipAnswer() { isSkipping_ = true; }
 
+    /// Ends the connection with AnswerMismatch, after the call in progress.
+    void rejectAnswer(const std::string &reason) { rejection_ = reason; }
+
     /// Stops or goes on reading, for back pressure.
     void setReading(bool isReading);
 
@@ -103,6 +107,9 @@
     bool isAnswerKeptAlive_ = true;
     bool isSkipping_ = false;
     bool isFailed_ = false;
+    int skippedAnswers_ = 0;       ///< Of the current request.
+    std::size_t skippedBytes_ = 0; ///< Of the bodies of these answers.
+    std::string rejection_;        ///< Why the answer is rejected; empty: it is not.
 };
 
 } // namespace qz
--- a/packages/qz_http/stream/httpstreamparser.cpp
+++ b/packages/qz_http/stream/httpstreamparser.cpp
@@ -19,6 +19,9 @@
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
 
+/// Interim answers (1xx) to one request; more come only from a server that never ends them.
+constexpr int maxInterimAnswers = 8;
+
 constexpr std::string_view headEnd = "\r\n\r\n";
 constexpr std::string_view answerStart = "HTTP/1.";
 
@@ -151,15 +154,22 @@
     isHeadRequest_ = isHeadAnswer;
     hasNoBody_ = false;
     isInterim_ = false;
+    interimCount_ = 0;
     problem_.reset();
 }
 
 Result<std::size_t> HttpStreamParser::parse(std::string_view data)
 {
-    if (hasEnded_ || data.empty()) {
-        return std::size_t(0);
+    std::size_t consumed = 0;
+    while (!hasEnded_ && consumed < data.size()) {
+        const std::string_view rest = data.substr(consumed);
+        BOOST_OUTCOME_TRY(step, hasHead_ ? parseBody(rest) : parseHead(rest));
+        if (step == 0) {
+            break;
+        }
+        consumed += step;
     }
-    return hasHead_ ? parseBody(data) : parseHead(data);
+    return consumed;
 }
 
 Result<std::size_t> HttpStreamParser::parseHead(std::string_view data)
@@ -172,13 +182,16 @@
     const std::size_t headSize = data.find(headEnd) + headEnd.size();
     BOOST_OUTCOME_TRY(runParser(data.substr(0, headSize)));
     if (!hasHead_) {
-        reset(isHeadRequest_); // An interim answer.
+        const int interimCount = interimCount_ + 1;
+        if (interimCount > maxInterimAnswers) {
+            return failure(ErrorKind::BadRequest, "too many interim answers");
+        }
+        reset(isHeadRequest_);
+        interimCount_ = interimCount;
     } else if (hasEnded_) {
         sink_.takeEnd();
-        return headSize;
     }
-    const auto rest = parse(data.substr(headSize));
-    return rest.has_error() ? rest : Result<std::size_t>(headSize + rest.value());
+    return headSize;
 }
 
 Result<std::size_t> HttpStreamParser::parseBody(std::string_view data)
--- a/packages/qz_http/stream/httpstreamparser.h
+++ b/packages/qz_http/stream/httpstreamparser.h
@@ -83,6 +83,7 @@
     bool isHeadRequest_ = false; ///< The answer is that to a HEAD request.
     bool hasNoBody_ = false;     ///< An answer that ends with its head, whatever its fields say.
     bool isInterim_ = false;     ///< A 1xx answer, which is skipped.
+    int interimCount_ = 0;       ///< Interim answers before the current one.
     std::optional<Error> problem_;
 };
 
--- a/packages/qz_placement/health/routelatency.cpp
+++ b/packages/qz_placement/health/routelatency.cpp
@@ -97,8 +97,8 @@
 double RouteLatency::silenceScore(Duration age) const
 {
     const Duration range = std::max(overdueAge() - mean(), Duration(1));
-    const double score = std::chrono::duration<double>(age - mean())
-            / std::chrono::duration<double>(range);
+    const double score =
+            std::chrono::duration<double>(age - mean()) / std::chrono::duration<double>(range);
     return std::clamp(score, 0.0, 1.0);
 }
 
--- a/packages/qz_placement/health/serverhealth.cpp
+++ b/packages/qz_placement/health/serverhealth.cpp
@@ -94,8 +94,8 @@
         return false;
     }
     if (result == AttemptResult::Answered) {
-        relativeLatency_ += (end.relativeLatency_ - relativeLatency_)
-                * (hasAnswered_ ? latencyGain : 1.0);
+        relativeLatency_ +=
+                (end.relativeLatency_ - relativeLatency_) * (hasAnswered_ ? latencyGain : 1.0);
         hasAnswered_ = true;
         failureScore_ /= 2.0;
         if (trialsLeft_ > 0 && now - latency == overdueSentAt_) {
--- a/packages/qz_placement/retries/hedging.cpp
+++ b/packages/qz_placement/retries/hedging.cpp
@@ -18,8 +18,7 @@
     }
     const std::chrono::duration<double> age = candidate.age_ - earliest;
     return age.count() > 0.0
-            && candidate.usedBudgetShare_
-            < age / std::chrono::duration<double>(latest - earliest);
+            && candidate.usedBudgetShare_ < age / std::chrono::duration<double>(latest - earliest);
 }
 
 } // namespace qz
--- a/packages/qz_placement/tests/placementtest.cpp
+++ b/packages/qz_placement/tests/placementtest.cpp
@@ -487,4 +487,3 @@
     candidate.age_ = 200ms;
     BOOST_TEST(!shouldHedge(candidate));
 }
-
