Let one instance in 32 of a failure domain take its callers

Hypothesis: instances that take callers do not see each other's requests, so each loses requests of its own to learn that a server is silent, and queues are seen in part only.

--- a/apps/quetzaldaled/serve/servedaemon.cpp
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -58,7 +58,7 @@
     , directory_(makeSelf(),
                  [this] {
                      InstanceDirectory::Limits limits;
-                     limits.entriesPerDomain_ = settings_.entriesPerDomain_;
+                     limits.instancesPerEntry_ = settings_.instancesPerEntry_;
                      return limits;
                  }())
     , links_(makeLinks())
@@ -235,8 +235,7 @@
     backends_.closeStaleConnections();
     metrics_.setBackendCount(static_cast<double>(backends_.size()));
     metrics_.setConnectionCount(static_cast<double>(callerServer_.connectionCount()));
-    const double entries = static_cast<double>(directory_.domainCount())
-            * static_cast<double>(directory_.entriesPerDomain());
+    const auto entries = static_cast<double>(directory_.entryCount());
     const double instances = static_cast<double>(directory_.all().size() + 1);
     const bool isEntry = directory_.isEntry(loop_.now());
     forwarder_.setSlackPart(isEntry ? entrySlackPart / entries
--- a/apps/quetzaldaled/serve/servesettings.cpp
+++ b/apps/quetzaldaled/serve/servesettings.cpp
@@ -10,7 +10,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t minKeyLength = 16;
-constexpr std::int64_t maxEntriesPerDomain = 64; ///< Callers accept no more addresses.
+constexpr std::int64_t maxInstancesPerEntry = 1000;
 
 /// Reads the region of each failure domain from a list "domain=region,domain=region".
 std::map<std::string, std::string> readRegions(SettingsReader &reader)
@@ -71,8 +71,8 @@
         reader.addProblem("fleet-key", "must have at least 16 characters");
     }
     settings.processorShare_ = readNumber(reader, "processor-share", "1");
-    settings.entriesPerDomain_ = static_cast<std::size_t>(
-            reader.integer("entries-per-domain", 1, maxEntriesPerDomain, 2));
+    settings.instancesPerEntry_ = static_cast<std::size_t>(
+            reader.integer("instances-per-entry", 1, maxInstancesPerEntry, 32));
     settings.retryBudget_.ratio_ = readNumber(reader, "retry-budget-ratio", "0.2");
     settings.retryBudget_.slack_ = readNumber(reader, "retry-budget-slack", "10");
     settings.retryBudget_.window_ = toDuration(readNumber(reader, "retry-budget-window-s", "10"));
@@ -100,7 +100,7 @@
              { "peer-address", toString(peerAddress_) },
              { "store-address", toString(storeAddress_) },
              { "processor-share", processorShare_ },
-             { "entries-per-domain", entriesPerDomain_ },
+             { "instances-per-entry", instancesPerEntry_ },
              { "retry-budget-ratio", retryBudget_.ratio_ },
              { "retry-budget-slack", retryBudget_.slack_ },
              { "retry-budget-window-s", toSeconds(retryBudget_.window_) },
--- a/packages/qz_presence/directory/instancedirectory.cpp
+++ b/packages/qz_presence/directory/instancedirectory.cpp
@@ -4,7 +4,6 @@
 #include "qz_core/hashing/rendezvous.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace qz {
@@ -110,7 +109,7 @@
         live.push_back(self_.id_.value());
     }
     return preferredInstances(self_.location_.failureDomain_.value(), std::move(live),
-                              limits_.entriesPerDomain_);
+                              entriesOf(domainSizes().at(self_.location_.failureDomain_.value())));
 }
 
 std::optional<std::size_t> InstanceDirectory::readerIndex(TimePoint now) const
@@ -158,12 +157,13 @@
 
 std::vector<InstanceRecord> InstanceDirectory::remoteEntries() const
 {
-    return preferredInOtherDomains("", limits_.entriesPerDomain_);
+    return preferredInOtherDomains("", [this](std::size_t size) { return entriesOf(size); });
 }
 
 std::vector<InstanceRecord> InstanceDirectory::remoteReaders() const
 {
-    return preferredInOtherDomains(readersSuffix, limits_.readersPerDomain_);
+    return preferredInOtherDomains(readersSuffix,
+                                   [this](std::size_t) { return limits_.readersPerDomain_; });
 }
 
 bool InstanceDirectory::isInSameDomain(const InstanceId &id) const
@@ -173,8 +173,8 @@
             && found->second.record_.location_.failureDomain_ == self_.location_.failureDomain_;
 }
 
-std::vector<InstanceRecord> InstanceDirectory::preferredInOtherDomains(const std::string &keySuffix,
-                                                                       std::size_t count) const
+std::vector<InstanceRecord> InstanceDirectory::preferredInOtherDomains(
+        const std::string &keySuffix, const std::function<std::size_t(std::size_t)> &countOf) const
 {
     std::map<std::string, std::vector<std::string>> domains;
     for (const auto &[id, known] : others_) {
@@ -184,6 +184,7 @@
     }
     std::vector<InstanceRecord> found;
     for (auto &[domain, ids] : domains) {
+        const std::size_t count = countOf(ids.size());
         for (InstanceRecord &record :
              preferredInstances(domain + keySuffix, std::move(ids), count)) {
             found.push_back(std::move(record));
@@ -201,13 +202,27 @@
     return found;
 }
 
-std::size_t InstanceDirectory::domainCount() const
+std::size_t InstanceDirectory::entriesOf(std::size_t domainSize) const
 {
-    std::set<std::string> domains{ self_.location_.failureDomain_.value() };
+    return (domainSize + limits_.instancesPerEntry_ - 1) / limits_.instancesPerEntry_;
+}
+
+std::map<std::string, std::size_t> InstanceDirectory::domainSizes() const
+{
+    std::map<std::string, std::size_t> sizes{ { self_.location_.failureDomain_.value(), 1 } };
     for (const auto &[id, known] : others_) {
-        domains.insert(known.record_.location_.failureDomain_.value());
+        ++sizes[known.record_.location_.failureDomain_.value()];
+    }
+    return sizes;
+}
+
+std::size_t InstanceDirectory::entryCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[domain, size] : domainSizes()) {
+        count += entriesOf(size);
     }
-    return domains.size();
+    return count;
 }
 
 } // namespace qz
--- a/packages/qz_presence/directory/instancedirectory.h
+++ b/packages/qz_presence/directory/instancedirectory.h
@@ -5,6 +5,7 @@
 #include "qz_core/time/clock.h"
 #include "qz_fleet/messages/coreadaptors.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -44,7 +45,9 @@
 public:
     struct Limits
     {
-        std::size_t entriesPerDomain_ = 2;
+        /// Instances of a failure domain for each of its entry instances, rounded up. Few entries
+        /// assess servers and share them better; each must be able to carry its callers.
+        std::size_t instancesPerEntry_ = 32;
         /// Number of instances that read from the store for their whole failure domain. With
         /// two, updates continue without a gap if one of them fails.
         std::size_t readersPerDomain_ = 2;
@@ -101,8 +104,8 @@
     bool isInSameDomain(const InstanceId &id) const;
 
     std::vector<InstanceRecord> all() const;
-    std::size_t domainCount() const;
-    std::size_t entriesPerDomain() const { return limits_.entriesPerDomain_; }
+    /// Returns the number of entry instances of all failure domains.
+    std::size_t entryCount() const;
 
 private:
     struct KnownInstance
@@ -117,8 +120,14 @@
                                                    std::vector<std::string> ids,
                                                    std::size_t count) const;
     const InstanceRecord &recordOf(const std::string &id) const;
-    std::vector<InstanceRecord> preferredInOtherDomains(const std::string &keySuffix,
-                                                        std::size_t count) const;
+    /// Returns the preferred instances of each other failure domain. @p countOf maps the number
+    /// of a domain's instances to the number of those to return.
+    std::vector<InstanceRecord> preferredInOtherDomains(
+            const std::string &keySuffix,
+            const std::function<std::size_t(std::size_t)> &countOf) const;
+    std::size_t entriesOf(std::size_t domainSize) const;
+    /// Returns the number of known instances by failure domain.
+    std::map<std::string, std::size_t> domainSizes() const;
 
     InstanceRecord self_;
     Limits limits_;
