Return a server to service after one answer, and wait longer for overdue ones

Hypothesis: while several servers are silent, capacity is what lacks, so a wrong ejection and a long return cost more than a lost request. Change: one answered trial ends an ejection (two before; the count is gone); a request is overdue after eight mean deviations above the mean (four before).

--- a/apps/quetzaldaled/serve/servedaemon.cpp
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -198,7 +198,7 @@
     if (report.ejectionTime_ > Duration::zero()) {
         server->health().applyReportedEjection(report.ejectionTime_, loop_.now());
     } else {
-        server->health().applyReportedRecovery(loop_.now());
+        server->health().returnToService(loop_.now());
     }
 }
 
--- a/packages/qz_placement/health/routelatency.cpp
+++ b/packages/qz_placement/health/routelatency.cpp
@@ -15,7 +15,7 @@
 constexpr double percentileStepUp = 0.45;
 constexpr double percentileStepDown = 0.05;
 /// Mean deviations above the mean from which an answer is overdue.
-constexpr int overdueDeviations = 4;
+constexpr int overdueDeviations = 8;
 /// A failure earlier than this fraction of the fastest latency is no lost answer.
 constexpr double earlyFraction = 0.5;
 /// Relative increase of the fastest latency with each answer, so that a single unusually fast
--- a/packages/qz_placement/health/routelatency.h
+++ b/packages/qz_placement/health/routelatency.h
@@ -25,9 +25,8 @@
     /// Returns the latency that about 90 % of the answers do not exceed.
     Duration percentile90() const;
 
-    /// Returns the age from which an unanswered request is overdue: only about one answer in a
-    /// hundred takes longer. Computed from mean and mean deviation, as the retransmission timeout
-    /// of TCP is (RFC 6298).
+    /// Returns the age from which an unanswered request is overdue: hardly any answer takes longer.
+    /// Computed from mean and mean deviation, as the retransmission timeout of TCP is (RFC 6298).
     Duration overdueAge() const;
 
     /// Returns the evidence that a request without an answer at @p age will never get one: 0 up to
--- a/packages/qz_placement/health/serverhealth.cpp
+++ b/packages/qz_placement/health/serverhealth.cpp
@@ -80,7 +80,7 @@
 
 ServerHealth::State ServerHealth::state(TimePoint now) const
 {
-    if (trialsLeft_ == 0) {
+    if (isInService_) {
         return State::Good;
     }
     return now < ejectedUntil_ ? State::Ejected : State::Trial;
@@ -98,24 +98,19 @@
                 (end.relativeLatency_ - relativeLatency_) * (hasAnswered_ ? latencyGain : 1.0);
         hasAnswered_ = true;
         failureScore_ /= 2.0;
-        if (trialsLeft_ > 0 && now - latency == overdueSentAt_) {
-            applyReportedRecovery(now);
-            return false;
-        }
-        // An answer to a request sent before the ejection is not a result of the trial.
-        if (trialsLeft_ > 0 && now - latency >= ejectedSince_ && --trialsLeft_ == 0) {
-            ejectedUntil_ = std::min(ejectedUntil_, now);
-            nextEjectionTime_ = Duration::zero();
+        // Of the requests sent before the ejection, only the overdue one can end it.
+        const TimePoint sentAt = now - latency;
+        if (!isInService_ && (sentAt >= ejectedSince_ || sentAt == overdueSentAt_)) {
+            returnToService(now);
         }
         return false;
     }
     failureScore_ += scoreOf(end);
-    const bool isOnTrial = trialsLeft_ > 0;
-    if (failureScore_ < ejectionScore && !isOnTrial) {
+    if (failureScore_ < ejectionScore && isInService_) {
         return false;
     }
     // Requests in flight at the start of the ejection fail together and count as one failure.
-    const bool wasInFlight = trialsLeft_ > 0 && now - latency < ejectedSince_;
+    const bool wasInFlight = !isInService_ && now - latency < ejectedSince_;
     if (!wasInFlight) {
         eject(!end.isRepeatable_ && end.isEarly_ && isServerFault(result), now);
         return true;
@@ -125,7 +120,7 @@
 
 bool ServerHealth::recordOverdue(TimePoint sentAt, bool isRepeatable, TimePoint now)
 {
-    if (trialsLeft_ > 0 && sentAt < ejectedSince_) {
+    if (!isInService_ && sentAt < ejectedSince_) {
         return false; // Sent before the ejection: no result of a trial.
     }
     eject(!isRepeatable, now);
@@ -142,7 +137,7 @@
     ejectedUntil_ = now + length;
     overdueSentAt_ = {};
     nextEjectionTime_ = std::min(length * 2, limits_.maxEjectionTime_);
-    trialsLeft_ = limits_.trialSuccesses_;
+    isInService_ = false;
     failureScore_ = 0.0;
 }
 
@@ -150,13 +145,13 @@
 {
     ejectedSince_ = now;
     ejectedUntil_ = std::max(ejectedUntil_, now + std::min(remaining, limits_.maxEjectionTime_));
-    trialsLeft_ = std::max(trialsLeft_, 1);
+    isInService_ = false;
 }
 
-void ServerHealth::applyReportedRecovery(TimePoint now)
+void ServerHealth::returnToService(TimePoint now)
 {
+    isInService_ = true;
     ejectedUntil_ = std::min(ejectedUntil_, now);
-    trialsLeft_ = 0;
     failureScore_ = 0.0;
     nextEjectionTime_ = Duration::zero();
 }
--- a/packages/qz_placement/health/serverhealth.h
+++ b/packages/qz_placement/health/serverhealth.h
@@ -39,7 +39,7 @@
     bool isEarly_ = false;         ///< RouteLatency::isEarly() of the latency.
 };
 
-/// Durations of ejections, and the condition under which a server returns to service.
+/// Durations of ejections.
 struct EjectionLimits
 {
     /// First ejection, unless nonRepeatableBaseEjectionTime_ applies.
@@ -48,7 +48,6 @@
     /// trial loses such a request, so the trial is sent when most failure periods have ended.
     Duration nonRepeatableBaseEjectionTime_ = std::chrono::seconds(6);
     Duration maxEjectionTime_ = std::chrono::seconds(8); ///< Ejections double up to this time.
-    int trialSuccesses_ = 2;                             ///< Consecutive answers that end a trial.
 };
 
 /// Ejects a server for a limited time when its requests fail.
@@ -59,8 +58,7 @@
 /// an answer eject it only if several occur close together.
 ///
 /// After an ejection the server is on trial: it gets one request at a time until it has answered
-/// EjectionLimits::trialSuccesses_ of them in a row. A failure during the trial ejects it again,
-/// for a longer time.
+/// one. A failure during the trial ejects it again, for a longer time.
 ///
 /// Invariant: every ejection ends without further input, so no server is excluded permanently.
 /// @see choosePlacement
@@ -94,8 +92,8 @@
     /// Ejects the server because another instance reported an ejection that ends @p remaining after
     /// @p now. Repeated reports of one ejection restart it, but do not move its end.
     void applyReportedEjection(Duration remaining, TimePoint now);
-    /// Ends the ejection or trial because another instance reported that the server answers again.
-    void applyReportedRecovery(TimePoint now);
+    /// Ends the ejection or trial: the server answers, here or as another instance reported.
+    void returnToService(TimePoint now);
 
     /// Mean of the recent answers' AttemptEnd::relativeLatency_; 1 before the first answer.
     double relativeLatency() const { return relativeLatency_; }
@@ -112,7 +110,7 @@
     TimePoint ejectedUntil_{}; ///< In the past: not ejected.
     TimePoint ejectedSince_{};
     Duration nextEjectionTime_{ 0 }; ///< Zero: the next ejection is the first.
-    int trialsLeft_ = 0;             ///< Above zero: ejected or on trial.
+    bool isInService_ = true;        ///< False while ejected or on trial.
     /// Time when the overdue request was sent that caused the ejection; zero: another cause.
     TimePoint overdueSentAt_{};
     double relativeLatency_ = 1.0;
