--- a/tests/soak/relay.cpp
+++ b/tests/soak/relay.cpp
@@ -43,15 +43,17 @@
 Relay::Relay(EventLoop &loop, Endpoint server)
     : loop_(loop)
     , server_(std::move(server))
-    , endpoint_{ "127.0.0.1", findFreePort() }
 {
-    const sockaddr_in address = toAddress(endpoint_);
+    sockaddr_in address = toAddress({ "127.0.0.1", 0 });
     listener_ = evconnlistener_new_bind(
             loop.base(), &Relay::onAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
             reinterpret_cast<const sockaddr *>(&address), sizeof address);
     if (listener_ == nullptr) {
-        throw std::runtime_error("a relay cannot listen at " + toString(endpoint_));
+        throw std::runtime_error("a relay cannot listen");
     }
+    socklen_t size = sizeof address;
+    getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr *>(&address), &size);
+    endpoint_ = { "127.0.0.1", ntohs(address.sin_port) };
 }
 
 Relay::~Relay()
--- a/tests/soak/soakservers.cpp
+++ b/tests/soak/soakservers.cpp
@@ -22,6 +22,20 @@
 constexpr std::size_t longBodyBytes = 150000;
 constexpr std::size_t shortBodyBytes = 200;
 constexpr std::size_t longBodyEvery = 7;
+/// Another process can take a port between its choice and listen().
+constexpr int listenTries = 20;
+
+/// Makes @p server listen at a free port and returns its endpoint.
+Endpoint listenAtFreePort(CallerServer &server)
+{
+    for (int i = 0; i < listenTries; ++i) {
+        const Endpoint endpoint{ "127.0.0.1", findFreePort() };
+        if (!server.listen(endpoint).has_error()) {
+            return endpoint;
+        }
+    }
+    throw std::runtime_error("a backend server cannot listen");
+}
 
 } // namespace
 
@@ -33,12 +47,9 @@
     , ledger_(ledger)
     , random_(seed)
     , server_(loop, {}, [this](const auto &exchange) { handle(exchange); })
-    , endpoint_{ "127.0.0.1", findFreePort() }
+    , endpoint_(listenAtFreePort(server_))
     , relay_(loop, endpoint_)
 {
-    if (server_.listen(endpoint_).has_error()) {
-        throw std::runtime_error("a backend server cannot listen");
-    }
 }
 
 std::string SoakServer::makeEntry(const std::string &domain) const
