Keep the retry budget when callers move between instances

While all servers of a service shed, an instance spent in three seconds what it had earned in ten, then its callers moved, and the next instance earned the same again. With one entry a failure domain the whole traffic of a domain moves. Change: the ratio of the budget also holds in a window an eighth as long; the slack may still be spent at once.

--- a/packages/qz_placement/retries/retryallowance.cpp
+++ b/packages/qz_placement/retries/retryallowance.cpp
@@ -1,6 +1,8 @@
 // Counts requests and retries in a sliding window.
 #include "qz_placement/retries/retryallowance.h"
 
+#include <algorithm>
+
 namespace qz {
 
 namespace {
@@ -8,6 +10,9 @@
 /// Fraction of the budget that may be spent. The rest is a reserve, since the same window starts
 /// later at a backend server than here.
 constexpr double spendableFraction = 0.85;
+/// The ratio also applies to a window shorter by this divisor. Otherwise an instance could spend
+/// at once what it earned before another one took over its callers and earns the same again.
+constexpr int shortWindowDivisor = 8;
 
 } // namespace
 
@@ -26,7 +31,10 @@
 bool RetryAllowance::tryAcquire(TimePoint now)
 {
     removeExpired(now);
-    if (static_cast<double>(retries_.size()) + 1.0 > allowed()) {
+    const TimePoint shortStart = now - limits_.window_ / shortWindowDivisor;
+    if (static_cast<double>(retries_.size()) + 1.0 > allowed(requests_.size())
+        || static_cast<double>(countSince(retries_, shortStart)) + 1.0
+                > allowed(countSince(requests_, shortStart))) {
         return false;
     }
     retries_.push_back(now);
@@ -36,14 +44,20 @@
 double RetryAllowance::usedShare(TimePoint now)
 {
     removeExpired(now);
-    return allowed() < 1.0 ? 1.0 : static_cast<double>(retries_.size()) / allowed();
+    const double limit = allowed(requests_.size());
+    return limit < 1.0 ? 1.0 : static_cast<double>(retries_.size()) / limit;
 }
 
-double RetryAllowance::allowed() const
+double RetryAllowance::allowed(std::size_t requests) const
 {
     return spendableFraction
-            * (limits_.ratio_ * static_cast<double>(requests_.size())
-               + limits_.slack_ * slackPart_);
+            * (limits_.ratio_ * static_cast<double>(requests) + limits_.slack_ * slackPart_);
+}
+
+std::size_t RetryAllowance::countSince(const std::deque<TimePoint> &times, TimePoint start)
+{
+    return static_cast<std::size_t>(times.end()
+                                    - std::upper_bound(times.begin(), times.end(), start));
 }
 
 void RetryAllowance::removeExpired(TimePoint now)
--- a/packages/qz_placement/retries/retryallowance.h
+++ b/packages/qz_placement/retries/retryallowance.h
@@ -3,6 +3,7 @@
 
 #include "qz_core/time/clock.h"
 
+#include <cstddef>
 #include <deque>
 
 namespace qz {
@@ -20,6 +21,9 @@
 /// keeps to its share of the slack, so the budget of all instances holds without communication
 /// between them.
 ///
+/// Assumed load: all requests of a service fail at once, while callers move from one instance to
+/// another. So the ratio is kept in short windows too; the slack may be spent at once.
+///
 /// Invariant: the retries of this instance in any window do not exceed its share of the budget.
 class RetryAllowance
 {
@@ -40,7 +44,8 @@
 
 private:
     void removeExpired(TimePoint now);
-    double allowed() const;
+    double allowed(std::size_t requests) const;
+    static std::size_t countSince(const std::deque<TimePoint> &times, TimePoint start);
 
     RetryBudgetLimits limits_;
     double slackPart_;
--- a/packages/qz_placement/tests/placementtest.cpp
+++ b/packages/qz_placement/tests/placementtest.cpp
@@ -503,3 +503,21 @@
     candidate.age_ = 200ms;
     BOOST_TEST(!shouldHedge(candidate));
 }
+
+BOOST_AUTO_TEST_CASE(aHandoverOfCallersKeepsTheRetryBudget)
+{
+    // Every request fails from 10 s on; at 13 s the callers move to the second instance.
+    const qz::RetryBudgetLimits limits{ 0.2, 20.0, 10s };
+    qz::RetryAllowance first(limits, 0.25);
+    qz::RetryAllowance second(limits, 0.25);
+    int retries = 0;
+    int requests = 0;
+    for (auto age = 0ms; age < 20s; age += 5ms) {
+        qz::RetryAllowance &allowance = age < 13s ? first : second;
+        allowance.countRequest(start + age);
+        requests += age >= 10s ? 1 : 0;
+        retries += age >= 10s && allowance.tryAcquire(start + age) ? 1 : 0;
+    }
+    BOOST_TEST(retries < requests * limits.ratio_ + limits.slack_);
+    BOOST_TEST(retries > requests * limits.ratio_ * 0.7);
+}
