--- a/tests/soak/soakservers.cpp
+++ b/tests/soak/soakservers.cpp
@@ -29,7 +29,7 @@
 Endpoint listenAtFreePort(CallerServer &server)
 {
     for (int i = 0; i < listenTries; ++i) {
-        const Endpoint endpoint{ "127.0.0.1", findFreePort() };
+        Endpoint endpoint{ "127.0.0.1", findFreePort() };
         if (!server.listen(endpoint).has_error()) {
             return endpoint;
         }
