--- a/apps/quetzaldaled/tests/servepathtest.cpp
+++ b/apps/quetzaldaled/tests/servepathtest.cpp
@@ -43,7 +43,8 @@
         , peer_{ "127.0.0.1", findFreePort() }
         , process_(QZ_DAEMON_PATH,
                    { "serve", "--instance-id=" + name, "--region=r", "--failure-domain=d",
-                     "--failure-domains=d=r", "--caller-address=" + toString(caller_),
+                     "--failure-domains=d=r", "--instances-per-entry=2",
+                     "--caller-address=" + toString(caller_),
                      "--directory-address=" + toString(directory_),
                      "--ready-address=" + toString(ready_),
                      "--metrics-address=" + toString(metrics_), "--peer-address=" + toString(peer_),
--- a/packages/qz_replica/tests/replicatest.cpp
+++ b/packages/qz_replica/tests/replicatest.cpp
@@ -32,6 +32,14 @@
     return update;
 }
 
+/// Two of three instances that know each other take callers.
+qz::InstanceDirectory::Limits makeLimits()
+{
+    qz::InstanceDirectory::Limits limits;
+    limits.instancesPerEntry_ = 2;
+    return limits;
+}
+
 /// One instance with its links and replicas.
 struct Node
 {
@@ -40,7 +48,7 @@
                    { "127.0.0.1", 1 },
                    { "127.0.0.1", qz::testing::findFreePort() },
                    { qz::RegionId("r"), qz::FailureDomainId(domain) } }
-        , directory_(record_, {})
+        , directory_(record_, makeLimits())
     {
         qz::PeerLinks::Builder builder;
         builder.setLoop(loop).setSelf(record_.id_, "1").setListenEndpoint(record_.peerEndpoint_);
