--- a/apps/quetzaldaled/main.cpp
+++ b/apps/quetzaldaled/main.cpp
@@ -74,7 +74,7 @@
   --processor-share=X         part of a core that it may use; larger ones take
                               callers first; 1
   --instances-per-entry=N     callers of a failure domain use one instance of each
-                              N, rounded up; 32
+                              N, rounded up; 16
   --retry-budget-ratio=X      second tries for each request, all instances; 0.2
   --retry-budget-slack=X      second tries on top in each window; 10
   --retry-budget-window-s=X   the window of the two; 10
--- a/apps/quetzaldaled/serve/servesettings.cpp
+++ b/apps/quetzaldaled/serve/servesettings.cpp
@@ -72,7 +72,7 @@
     }
     settings.processorShare_ = readNumber(reader, "processor-share", "1");
     settings.instancesPerEntry_ = static_cast<std::size_t>(
-            reader.integer("instances-per-entry", 1, maxInstancesPerEntry, 32));
+            reader.integer("instances-per-entry", 1, maxInstancesPerEntry, 16));
     settings.retryBudget_.ratio_ = readNumber(reader, "retry-budget-ratio", "0.2");
     settings.retryBudget_.slack_ = readNumber(reader, "retry-budget-slack", "10");
     settings.retryBudget_.window_ = toDuration(readNumber(reader, "retry-budget-window-s", "10"));
--- a/apps/quetzaldaled/serve/servesettings.h
+++ b/apps/quetzaldaled/serve/servesettings.h
@@ -29,7 +29,7 @@
     Endpoint storeAddress_;
     std::string fleetKey_;        ///< Never logged.
     double processorShare_ = 1.0; ///< Part of a processor core that this instance may use.
-    std::size_t instancesPerEntry_ = 32;
+    std::size_t instancesPerEntry_ = 16;
     RetryBudgetLimits retryBudget_;
     Duration addressKeepTime_{}; ///< How long callers may cache an answer of the directory.
     Duration stopLimit_{};       ///< From the signal to stop to the end of the process.
--- a/packages/qz_presence/directory/instancedirectory.h
+++ b/packages/qz_presence/directory/instancedirectory.h
@@ -47,7 +47,7 @@
     {
         /// Instances of a failure domain for each of its entry instances, rounded up. Few entries
         /// assess servers and share them better; each must be able to carry its callers.
-        std::size_t instancesPerEntry_ = 32;
+        std::size_t instancesPerEntry_ = 16;
         /// Number of instances that read from the store for their whole failure domain. With
         /// two, updates continue without a gap if one of them fails.
         std::size_t readersPerDomain_ = 2;
--- a/packages/qz_presence/tests/instancedirectorytest.cpp
+++ b/packages/qz_presence/tests/instancedirectorytest.cpp
@@ -104,7 +104,7 @@
 
 BOOST_AUTO_TEST_CASE(theNumberOfEntriesGrowsWithTheFailureDomain)
 {
-    for (const auto &[instances, entries] : { std::pair(1, 1), { 32, 1 }, { 33, 2 }, { 80, 3 } }) {
+    for (const auto &[instances, entries] : { std::pair(1, 1), { 16, 1 }, { 17, 2 }, { 40, 3 } }) {
         qz::InstanceDirectory directory(makeRecord(0), {});
         directory.setSelfState({ true, false });
         for (int i = 1; i < instances; ++i) {
