--- a/packages/qz_replica/exchange/replicaexchange.cpp
+++ b/packages/qz_replica/exchange/replicaexchange.cpp
@@ -65,7 +65,7 @@
 
 void ReplicaExchange::publish(const TableUpdate &update)
 {
-    if (!apply(update)) {
+    if (!apply(update, "store")) {
         return; // The update from another instance arrived first.
     }
     sendToDomain(update);
@@ -93,12 +93,20 @@
     }
 }
 
-bool ReplicaExchange::apply(const TableUpdate &update)
+bool ReplicaExchange::apply(const TableUpdate &update, const std::string &source)
 {
     const auto found = tables_.find(update.table_);
     if (found == tables_.end() || !found->second.replica_.apply(update)) {
         return false;
     }
+    if (!update.rows_.empty()) {
+        log(LogLevel::Info, "table-updated",
+            { { "table", update.table_ },
+              { "version", update.version_ },
+              { "from", source },
+              { "snapshot", update.isSnapshot_ },
+              { "rows", update.rows_.size() } });
+    }
     found->second.handler_(update);
     return true;
 }
@@ -125,6 +133,11 @@
         if (found != tables_.end() && version > found->second.replica_.version()
             && loop_.now() - found->second.requestedAt_ >= minRequestInterval) {
             found->second.requestedAt_ = loop_.now();
+            log(LogLevel::Info, "table-requested",
+                { { "table", name },
+                  { "version", found->second.replica_.version() },
+                  { "known_version", version },
+                  { "from", from.value() } });
             // Within the domain, a lost request is repeated after a later presence message.
             (void)links_.send(
                     from, MessageKind::TableRequest,
@@ -140,7 +153,7 @@
         log(LogLevel::Warning, "table-update-malformed", { { "from", from.value() } });
         return;
     }
-    if (apply(update.value()) && !directory_.isInSameDomain(from)) {
+    if (apply(update.value(), from.value()) && !directory_.isInSameDomain(from)) {
         sendToDomain(update.value());
     }
 }
--- a/packages/qz_replica/exchange/replicaexchange.h
+++ b/packages/qz_replica/exchange/replicaexchange.h
@@ -80,7 +80,8 @@
         InstanceId from_;
         std::uint64_t version_ = 0;
     };
-    bool apply(const TableUpdate &update);
+    /// @p source is "store" or the id of the instance that sent the update.
+    bool apply(const TableUpdate &update, const std::string &source);
     void sendToDomain(const TableUpdate &update);
     void receiveVersion(const InstanceId &from, std::string_view payload);
     void checkRemoteVersions();
