Keep to the limit that a backend server names, over all instances

Seen by the users: a server that named a limit got up to twice as many requests.

Cause: nothing read the field, and no instance knew what the others send, so that a limit that each kept for itself would be exceeded by as many times as there are instances.

Change: an instance that sees a limit, another rate or its end reports it to all instances. Only the owner (3/4) and the backup (1/4) of the server send to it then, by a token bucket of one request each; retries, hedges and trials take tokens too. A request that no server accepts is rejected at once; Retry-After gives rejected requests times one after the other, as the servers will accept them. A rejection by the server says nothing about its limit. A limit that is not named for 10 s ends.

Evidence: without the reading of the field the forwarder's tests fail with 41 requests instead of 9.

--- a/apps/quetzaldaled/serve/servedaemon.cpp
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -76,11 +76,19 @@
         presence_.sendHealthReport(
                 { server.listed().id_, server.listed().incarnation_, ejectionTime });
     });
+    forwarder_.setLimitListener(
+            [this](const Backend &server, std::optional<double> requestsPerSecond) {
+                presence_.sendLimitReport({ server.listed().id_, server.listed().incarnation_,
+                                            requestsPerSecond.has_value(),
+                                            requestsPerSecond.value_or(0.0) });
+            });
     forwarder_.setServerRoleProvider([this](const Backend &server) {
         return serverRoles_.find(server.listed().id_, server.listed().location_);
     });
     presence_.setHealthReportHandler(
             [this](const HealthReportMessage &report) { applyHealthReport(report); });
+    presence_.setLimitReportHandler(
+            [this](const LimitReportMessage &report) { applyLimitReport(report); });
     presence_.setVersionsProvider([this] { return replicas_.versions(); });
     presence_.setVersionsHandler([this](const InstanceId &from, const TableVersions &versions) {
         replicas_.requestNewerTables(from, versions);
@@ -202,6 +210,16 @@
     }
 }
 
+void ServeDaemon::applyLimitReport(const LimitReportMessage &report)
+{
+    const auto server = backends_.find(report.server_);
+    if (server == nullptr || server->listed().incarnation_ != report.incarnation_) {
+        return;
+    }
+    forwarder_.applyReportedLimit(
+            *server, report.isLimited_ ? std::optional(report.requestsPerSecond_) : std::nullopt);
+}
+
 bool ServeDaemon::isReady() const
 {
     return areBackendsLoaded_ && forwarder_.routes() != nullptr && !isStopping_;
--- a/apps/quetzaldaled/serve/servedaemon.h
+++ b/apps/quetzaldaled/serve/servedaemon.h
@@ -39,6 +39,7 @@
     void watchSignals();
     void applyRoutes(const std::shared_ptr<const RoutingTable> &routes);
     void applyHealthReport(const HealthReportMessage &report);
+    void applyLimitReport(const LimitReportMessage &report);
     bool isReady() const;
     void updateState();
     void updateRoles();
--- a/packages/qz_fleet/messages/messagekind.cpp
+++ b/packages/qz_fleet/messages/messagekind.cpp
@@ -27,6 +27,8 @@
     "table-request",
     "table-update",
     "table-version",
+    "instance-list",
+    "limit-report",
 };
 
 } // namespace
--- a/packages/qz_fleet/messages/messagekind.h
+++ b/packages/qz_fleet/messages/messagekind.h
@@ -30,10 +30,11 @@
     TableUpdate = 17,      ///< A table's rows, all or those that changed.
     TableVersion = 18,     ///< The sender has this version of a table.
     InstanceList = 19,     ///< The instances that the sender knows. @see PresenceDriver
+    LimitReport = 20,      ///< The rate of requests that a backend server accepts.
 };
 
 /// One more than the highest value of a kind.
-constexpr std::size_t messageKindEnd = 20;
+constexpr std::size_t messageKindEnd = 21;
 
 /// The kind with the value @p value on the wire, if there is one.
 std::optional<MessageKind> messageKindFromValue(std::uint64_t value);
--- a/packages/qz_forward/backends/backend.cpp
+++ b/packages/qz_forward/backends/backend.cpp
@@ -43,6 +43,7 @@
 {
     unanswered_.emplace(now, overdueAt);
     lastSent_ = now;
+    rateLimit_.recordSent(now);
 }
 
 void Backend::endRequest(TimePoint startTime)
--- a/packages/qz_forward/backends/backend.h
+++ b/packages/qz_forward/backends/backend.h
@@ -5,6 +5,7 @@
 #include "qz_core/loop/eventloop.h"
 #include "qz_http/stream/backendconnection.h"
 #include "qz_placement/health/serverhealth.h"
+#include "qz_placement/limits/serverratelimit.h"
 
 #include <cstdint>
 #include <map>
@@ -28,8 +29,8 @@
     Duration coldRemaining_{}; ///< Time until the server has warmed up; it is slow until then.
 };
 
-/// The state that belongs to one incarnation of a backend server: its health, the requests in
-/// progress and its idle connections.
+/// The state that belongs to one incarnation of a backend server: its health, its limit, the
+/// requests in progress and its idle connections.
 /// @see BackendTable
 class Backend
 {
@@ -49,6 +50,9 @@
     ServerHealth &health() { return health_; }
     const ServerHealth &health() const { return health_; }
 
+    ServerRateLimit &rateLimit() { return rateLimit_; }
+    const ServerRateLimit &rateLimit() const { return rateLimit_; }
+
     /// Records that a request is sent to the server at @p now. From @p overdueAt on it is overdue.
     void beginRequest(TimePoint now, TimePoint overdueAt);
     /// Returns the time when the last request was sent to the server.
@@ -80,6 +84,7 @@
     EventLoop &loop_;
     ListedBackend listed_;
     ServerHealth health_;
+    ServerRateLimit rateLimit_;
     /// Times from which the unanswered requests are overdue, by the time when they were sent.
     std::multimap<TimePoint, TimePoint> unanswered_;
     /// Idle connections; the one that has been idle longest comes first.
--- a/packages/qz_forward/requests/forwardattempt.cpp
+++ b/packages/qz_forward/requests/forwardattempt.cpp
@@ -100,6 +100,9 @@
         connection_->skipAnswer();
         return;
     }
+    if (id) {
+        request_.forwarder().recordNamedLimit(*server_, head);
+    }
     responseHead_ = std::move(head);
     hasResponseHead_ = true;
 }
--- a/packages/qz_forward/requests/forwardedrequest.cpp
+++ b/packages/qz_forward/requests/forwardedrequest.cpp
@@ -209,6 +209,7 @@
         candidate.inFlight_ = server->inFlight();
         candidate.relativeLatency_ = server->health().relativeLatency();
         candidate.oldestRequestAge_ = server->oldestRequestAge(now);
+        candidate.isRateLimited_ = !server->rateLimit().canSend(now);
         candidate.wasAttempted_ =
                 std::any_of(attempts_.begin(), attempts_.end(), [&server](const auto &attempt) {
                     return &attempt->server() == server.get();
@@ -262,6 +263,7 @@
     for (const auto &server : forwarder_.backends().serversOf(service_)) {
         if (server->isOpen()) {
             forwarder_.ejectIfOverdue(*server, route_->isRepeatable_);
+            server->rateLimit().setRole(forwarder_.serverRole(*server), forwarder_.loop().now());
             candidateServers_.push_back(server);
         }
     }
@@ -540,11 +542,12 @@
     }
 }
 
-Duration ForwardedRequest::retryAfter() const
+Duration ForwardedRequest::retryAfter()
 {
     Duration wait = minRetryAfter;
     if (route_ != nullptr) {
-        wait = std::max(wait, forwarder_.latency(service_, *route_).mean());
+        wait = std::max({ wait, forwarder_.latency(service_, *route_).mean(),
+                          forwarder_.reserveReturn(service_, candidateServers_, maxRetryAfter) });
     }
     std::uniform_real_distribution<double> spread(0.75, 1.25);
     return std::min(scaled(wait, spread(forwarder_.random())), maxRetryAfter);
--- a/packages/qz_forward/requests/forwardedrequest.h
+++ b/packages/qz_forward/requests/forwardedrequest.h
@@ -83,7 +83,7 @@
     AttemptResult classify(const ForwardAttempt &attempt) const;
     void sendResponse(ForwardAttempt &attempt);
     void fail(const Error &error);
-    Duration retryAfter() const;
+    Duration retryAfter();
     bool hasActiveAttempt() const;
     void endAttempt(ForwardAttempt &attempt, AttemptResult result, const std::string &detail);
     void endActiveAttempts(AttemptResult result);
--- a/packages/qz_forward/requests/forwarder.cpp
+++ b/packages/qz_forward/requests/forwarder.cpp
@@ -5,6 +5,8 @@
 #include "qz_forward/requests/forwardedrequest.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace qz {
@@ -14,6 +16,15 @@
 /// Number of requests that can be deferred after a start; each takes a few kilobytes.
 constexpr std::size_t maxDeferredRequests = 500;
 
+/// Parses requests per second. A text that is no such number names no limit.
+std::optional<double> parseRate(const std::string &text)
+{
+    double value = 0.0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool isNumber = error == std::errc() && end == text.data() + text.size();
+    return isNumber && std::isfinite(value) && value >= 0.0 ? std::optional(value) : std::nullopt;
+}
+
 } // namespace
 
 Forwarder::Forwarder(EventLoop &loop, ForwardSettings settings, BackendTable &backends,
@@ -128,6 +139,80 @@
     }
 }
 
+void Forwarder::recordNamedLimit(Backend &server, const HttpHead &head)
+{
+    const TimePoint now = loop_.now();
+    const auto text = head.headers_.find(settings_.headers_.rateLimit_);
+    const auto rate = text ? parseRate(*text) : std::nullopt;
+    if (text && !rate) {
+        log(LogLevel::Warning, "server-limit-malformed",
+            { { "server", server.listed().id_.value() }, { "value", *text } });
+    }
+    if (!rate && head.headers_.find(settings_.headers_.notRun_)) {
+        return; // A rejection does not say whether the limit still applies.
+    }
+    const bool isChanged =
+            rate ? server.rateLimit().set(*rate, now) : server.rateLimit().clear(now);
+    if (isChanged) {
+        logLimit(server, "response");
+    }
+    if (isChanged || (rate && server.rateLimit().isReportDue(now))) {
+        server.rateLimit().recordReport(now);
+        if (limitListener_) {
+            limitListener_(server, rate);
+        }
+    }
+}
+
+void Forwarder::applyReportedLimit(Backend &server, std::optional<double> requestsPerSecond)
+{
+    const TimePoint now = loop_.now();
+    const bool isChanged = requestsPerSecond ? server.rateLimit().set(*requestsPerSecond, now)
+                                             : server.rateLimit().clear(now);
+    server.rateLimit().recordReport(now);
+    if (isChanged) {
+        logLimit(server, "report");
+    }
+}
+
+void Forwarder::logLimit(const Backend &server, std::string_view source)
+{
+    const auto rate = server.rateLimit().requestsPerSecond(loop_.now());
+    log(LogLevel::Info, "server-limited",
+        { { "server", server.listed().id_.value() },
+          { "service", server.listed().service_.value() },
+          { "source", source },
+          { "limited", rate.has_value() },
+          { "per_second", rate.value_or(0.0) } });
+}
+
+Duration Forwarder::reserveReturn(const ServiceId &service,
+                                  const std::vector<std::shared_ptr<Backend>> &servers,
+                                  Duration limit)
+{
+    const TimePoint now = loop_.now();
+    std::optional<Duration> soonest;
+    double rate = 0.0;
+    for (const auto &server : servers) {
+        const auto wait = server->rateLimit().timeUntilFree(now);
+        if (wait == Duration::zero()) {
+            return Duration::zero();
+        }
+        if (wait) {
+            soonest = std::min(soonest.value_or(*wait), *wait);
+            rate += server->rateLimit().ownRate();
+        }
+    }
+    if (!soonest) {
+        return Duration::zero();
+    }
+    const auto interval =
+            std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1.0 / rate));
+    TimePoint &last = lastReturns_[service];
+    last = std::min(std::max(now + *soonest, last + interval), now + limit);
+    return last - now;
+}
+
 void Forwarder::deleteLater(ForwardedRequest *request)
 {
     ended_.insert(request);
--- a/packages/qz_forward/requests/forwarder.h
+++ b/packages/qz_forward/requests/forwarder.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -46,6 +47,11 @@
     /// itself, or with zero when an ejected server has recovered. @see isServerFault
     using HealthListener = std::function<void(const Backend &server, Duration ejectionTime)>;
 
+    /// Called when a server names a limit for the first time, with another rate, or again after
+    /// some time, and without a rate when it no longer names one.
+    using LimitListener =
+            std::function<void(const Backend &server, std::optional<double> requestsPerSecond)>;
+
     Forwarder(EventLoop &loop, ForwardSettings settings, BackendTable &backends,
               ForwardMetrics &metrics);
     ~Forwarder();
@@ -66,6 +72,11 @@
 
     void setHealthListener(HealthListener listener) { healthListener_ = std::move(listener); }
 
+    void setLimitListener(LimitListener listener) { limitListener_ = std::move(listener); }
+
+    /// Applies the limit of @p server that another instance reported, or its end.
+    void applyReportedLimit(Backend &server, std::optional<double> requestsPerSecond);
+
     /// Sets this instance's share of the slack of the retry budgets. @see RetryAllowance
     void setSlackPart(double slackPart);
 
@@ -103,11 +114,20 @@
     /// place is. @see ServerHealth::recordOverdue
     void ejectIfOverdue(Backend &server, bool isRepeatable);
     ServerRole serverRole(const Backend &server) const;
+    /// Takes the limit that @p server names, or no longer names, from the head of its response.
+    void recordNamedLimit(Backend &server, const HttpHead &head);
+    /// Returns the time after which a rejected request to @p service should come back, at most
+    /// @p limit, if the limits of all @p servers exclude further requests now, otherwise zero. Each
+    /// call reserves a later time, so that requests come back in the order in which they were
+    /// rejected and as fast as the servers accept them.
+    Duration reserveReturn(const ServiceId &service,
+                           const std::vector<std::shared_ptr<Backend>> &servers, Duration limit);
     /// Deletes an ended request on the loop's next turn.
     void deleteLater(ForwardedRequest *request);
 
 private:
     void logEjection(const Backend &server, std::string_view cause);
+    void logLimit(const Backend &server, std::string_view source);
 
     EventLoop &loop_;
     const ForwardSettings settings_;
@@ -120,7 +140,9 @@
     std::map<ServiceId, RetryAllowance> allowances_;
     double slackPart_ = 0.0;
     std::map<ServiceId, FailureRateTracker> failureRateTrackers_;
+    std::map<ServiceId, TimePoint> lastReturns_; ///< Times that reserveReturn() gave last.
     HealthListener healthListener_;
+    LimitListener limitListener_;
     ServerRoleProvider serverRoleProvider_;
     std::mt19937_64 random_;
     std::map<ForwardedRequest *, std::unique_ptr<ForwardedRequest>> requests_;
--- a/packages/qz_forward/requests/forwardheaders.h
+++ b/packages/qz_forward/requests/forwardheaders.h
@@ -13,6 +13,8 @@
     std::string expectServer_; ///< Id of the backend server that the request is meant for.
     std::string notRun_;       ///< In a response: the server did not and will not run the request.
     std::string seal_;         ///< In a response: signature of the backend server.
+    /// In a response: requests per second that the server accepts from all instances together.
+    std::string rateLimit_;
 };
 
 } // namespace qz
--- a/packages/qz_forward/tests/forwardertest.cpp
+++ b/packages/qz_forward/tests/forwardertest.cpp
@@ -113,7 +113,7 @@
     {
         qz::ForwardSettings settings;
         settings.location_ = { qz::RegionId("r"), qz::FailureDomainId("d") };
-        settings.headers_ = { "X-Id", "X-Deadline", "X-Expect", "X-Not-Run", "X-Seal" };
+        settings.headers_ = { "X-Id", "X-Deadline", "X-Expect", "X-Not-Run", "X-Seal", "X-Limit" };
         settings.retryBudget_.slack_ = 10.0;
         return settings;
     }
@@ -279,6 +279,63 @@
     BOOST_TEST(second.readCount() == 0);
 }
 
+// Guards against more requests than a server accepts once it has named its limit.
+BOOST_AUTO_TEST_CASE(serverThatNamesALimitGetsNoMoreThanThat)
+{
+    Fixture fixture;
+    fixture.setRoute(true);
+    const RawServer &server = fixture.addServer(
+            "a", respondWith(responseHead + "X-Limit: 4.0\r\n" + "Content-Length: 2\r\n\r\nok"));
+    BOOST_TEST(statusOf(fixture.sendRequest(50ms)) == 200);
+    int answered = 0;
+    for (int i = 0; i < 40; ++i) {
+        answered += statusOf(fixture.sendRequest(50ms)) == 200 ? 1 : 0;
+    }
+    BOOST_TEST(server.readCount() <= 1 + 4 * 2);
+    BOOST_TEST(answered >= 4); // The owner's share in two seconds is six requests.
+}
+
+// Rejected requests come back one after the other, when the server accepts another one.
+BOOST_AUTO_TEST_CASE(requestsOverTheLimitAreRejectedAtOnceInTheOrderOfTheirReturn)
+{
+    Fixture fixture;
+    fixture.setRoute(false, 8s);
+    fixture.addServer(
+            "a", respondWith(responseHead + "X-Limit: 1.0\r\n" + "Content-Length: 2\r\n\r\nok"));
+    fixture.sendRequest(50ms);
+    const auto retryAfterOf = [](const std::string &response) {
+        return std::stod(response.substr(response.find("Retry-After: ") + 13, 4));
+    };
+    const std::string first = fixture.sendRequest(50ms);
+    const std::string second = fixture.sendRequest(50ms);
+    BOOST_TEST(statusOf(first) == 503);
+    BOOST_TEST(contains(first, "not-run"));
+    BOOST_TEST(statusOf(second) == 503);
+    BOOST_TEST(retryAfterOf(first) > 0.9); // The owner's share is one request in 1.33 s.
+    BOOST_TEST(retryAfterOf(second) > 1.9);
+}
+
+BOOST_AUTO_TEST_CASE(limitEndsWithAResponseThatDoesNotNameIt)
+{
+    Fixture fixture;
+    fixture.setRoute(true);
+    fixture.addServer("a", [](bufferevent *stream, int reads) {
+        const bool isRejected = reads == 2;
+        const std::string limit = reads == 1 ? "X-Limit: 20\r\n" : "";
+        write(stream,
+              isRejected ? "HTTP/1.1 503 Full\r\nX-Id: 1\r\nX-Not-Run: 1\r\n"
+                           "Content-Length: 0\r\n\r\n"
+                         : responseHead + limit + "Content-Length: 2\r\n\r\nok");
+    });
+    fixture.sendRequest(100ms);
+    fixture.sendRequest(20ms); // A rejection, which says nothing about the limit.
+    BOOST_TEST(statusOf(fixture.sendRequest(20ms)) == 503);
+    fixture.loop_.runFor(100ms);
+    BOOST_TEST(statusOf(fixture.sendRequest(20ms)) == 200);
+    BOOST_TEST(statusOf(fixture.sendRequest(20ms)) == 200);
+    BOOST_TEST(statusOf(fixture.sendRequest(20ms)) == 200);
+}
+
 BOOST_AUTO_TEST_CASE(unreachableServerDoesNotFailTheRequest)
 {
     Fixture fixture;
--- a/packages/qz_placement/choice/placement.cpp
+++ b/packages/qz_placement/choice/placement.cpp
@@ -95,7 +95,8 @@
 bool hasFreeSlot(const std::vector<PlacementCandidate> &candidates)
 {
     return std::any_of(candidates.begin(), candidates.end(), [](const auto &c) {
-        return c.state_ == ServerHealth::State::Good && !c.wasAttempted_ && c.inFlight_ < c.slots_;
+        return c.state_ == ServerHealth::State::Good && !c.wasAttempted_ && !c.isRateLimited_
+                && c.inFlight_ < c.slots_;
     });
 }
 
@@ -169,7 +170,7 @@
                                              && isFloorNear(candidates, settings, now) };
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const PlacementCandidate &candidate = candidates[i];
-        if (candidate.wasAttempted_ || isFull(candidate, settings)) {
+        if (candidate.wasAttempted_ || candidate.isRateLimited_ || isFull(candidate, settings)) {
             continue;
         }
         const Duration expected = expectedAnswer(candidate, request, settings);
--- a/packages/qz_placement/choice/placement.h
+++ b/packages/qz_placement/choice/placement.h
@@ -30,6 +30,7 @@
     double relativeLatency_ = 1.0;   ///< Mean latency divided by that of the service.
     Duration oldestRequestAge_{ 0 }; ///< Age of the oldest request without an answer yet.
     bool wasAttempted_ = false;      ///< This request was sent to the server before.
+    bool isRateLimited_ = false;     ///< The server accepts no request now. @see ServerRateLimit
     ServerRole serverRole_ = ServerRole::Owner; ///< Role of this instance for the server.
 };
 
@@ -100,6 +101,8 @@
 /// Of the servers that other instances own, only the first few are compared, so @p candidates must
 /// be in random order.
 ///
+/// A server that accepts no request now is never chosen, not even for a trial.
+///
 /// A server for which this instance is due to send a trial request is chosen before all others,
 /// whatever its expected answer time; of several such servers, the one that was ejected first. Only
 /// a first attempt is used for a trial. If only ejected servers are left, returns the one with the
--- a/packages/qz_placement/tests/placementtest.cpp
+++ b/packages/qz_placement/tests/placementtest.cpp
@@ -521,3 +521,13 @@
     BOOST_TEST(retries < requests * limits.ratio_ + limits.slack_);
     BOOST_TEST(retries > requests * limits.ratio_ * 0.7);
 }
+
+BOOST_AUTO_TEST_CASE(serverThatAcceptsNoRequestNowIsNotChosenEvenForATrial)
+{
+    const qz::TimePoint now = start + 20s;
+    auto limited = makeEjectedCandidate(makeEjected(start), now);
+    limited.isRateLimited_ = true;
+    BOOST_TEST(choose({ limited, makeCandidate(Distance::OtherRegion, 0) }, makeRequest(), now)
+               == 1);
+    BOOST_TEST(!choosePlacement({ limited }, makeRequest(), {}, now).has_value());
+}
--- a/packages/qz_presence/exchange/presencedriver.cpp
+++ b/packages/qz_presence/exchange/presencedriver.cpp
@@ -1,9 +1,10 @@
-// Presence messages and health reports over peer links.
+// Presence messages and reports about backend servers over peer links.
 #include "qz_presence/exchange/presencedriver.h"
 
 #include "qz_core/logging/logger.h"
 #include "qz_fleet/messages/packing.h"
 
+#include <cmath>
 #include <utility>
 
 namespace qz {
@@ -30,6 +31,7 @@
 {
     links_.setHandler(MessageKind::Presence, nullptr);
     links_.setHandler(MessageKind::HealthReport, nullptr);
+    links_.setHandler(MessageKind::LimitReport, nullptr);
     links_.setHandler(MessageKind::InstanceList, nullptr);
 }
 
@@ -43,6 +45,10 @@
                       [this](const InstanceId &from, std::string_view payload) {
                           receiveHealthReport(from, payload);
                       });
+    links_.setHandler(MessageKind::LimitReport,
+                      [this](const InstanceId &from, std::string_view payload) {
+                          receiveLimitReport(from, payload);
+                      });
     links_.setHandler(MessageKind::InstanceList,
                       [this](const InstanceId &from, std::string_view payload) {
                           receiveList(from, payload);
@@ -91,15 +97,29 @@
 
 void PresenceDriver::sendHealthReport(const HealthReportMessage &report)
 {
-    const std::string message = packMessage(report);
     auto receivers = directory_.entries(loop_.now());
     for (InstanceRecord &remote : directory_.remoteEntries()) {
         receivers.push_back(std::move(remote));
     }
+    sendReport(receivers, MessageKind::HealthReport, packMessage(report));
+}
+
+void PresenceDriver::sendLimitReport(const LimitReportMessage &report)
+{
+    auto receivers = directory_.domainPeers();
+    for (InstanceRecord &remote : directory_.remoteEntries()) {
+        receivers.push_back(std::move(remote));
+    }
+    sendReport(receivers, MessageKind::LimitReport, packMessage(report));
+}
+
+void PresenceDriver::sendReport(const std::vector<InstanceRecord> &receivers, MessageKind kind,
+                                const std::string &message)
+{
     for (const InstanceRecord &receiver : receivers) {
         if (receiver.id_ != directory_.self().id_) {
-            // If the report is lost, the receiver detects the failure by its own requests.
-            (void)links_.send(receiver.id_, MessageKind::HealthReport, message);
+            // If the report is lost, the receiver learns its content from its own requests.
+            (void)links_.send(receiver.id_, kind, message);
         }
     }
 }
@@ -177,6 +197,22 @@
     }
 }
 
+void PresenceDriver::receiveLimitReport(const InstanceId &from, std::string_view payload)
+{
+    const auto message = unpackMessage<LimitReportMessage>(payload);
+    if (message.has_error() || !std::isfinite(message.value().requestsPerSecond_)
+        || message.value().requestsPerSecond_ < 0.0) {
+        log(LogLevel::Warning, "limit-report-malformed", { { "from", from.value() } });
+        return;
+    }
+    if (!directory_.isInSameDomain(from)) {
+        sendReport(directory_.domainPeers(), MessageKind::LimitReport, std::string(payload));
+    }
+    if (limitReportHandler_) {
+        limitReportHandler_(message.value());
+    }
+}
+
 void PresenceDriver::updatePeers()
 {
     std::vector<Peer> peers;
--- a/packages/qz_presence/exchange/presencedriver.h
+++ b/packages/qz_presence/exchange/presencedriver.h
@@ -1,4 +1,4 @@
-// Exchanges presence messages and health reports with other instances.
+// Exchanges presence messages, and reports about backend servers, with other instances.
 #pragma once
 
 #include "qz_core/loop/eventloop.h"
@@ -7,12 +7,14 @@
 #include "qz_presence/exchange/presencemessages.h"
 
 #include <functional>
+#include <string>
+#include <vector>
 
 namespace qz {
 
-/// Sends presence messages to all instances of the failure domain a few times a second, and
-/// health reports to the entry instances of all failure domains. A health report is sent once and
-/// may be lost; the receiver then detects the failure by its own requests.
+/// Sends presence messages to all instances of the failure domain a few times a second, health
+/// reports to the entry instances of all failure domains, and limit reports to all instances. A
+/// report may be lost; the receiver then detects the failure or the limit by its own requests.
 ///
 /// Instances that start at the same time each find only some of the others in the store.
 /// Therefore two instances of a domain whose lists of known instances differ exchange them.
@@ -21,6 +23,7 @@
 {
 public:
     using HealthReportHandler = std::function<void(const HealthReportMessage &)>;
+    using LimitReportHandler = std::function<void(const LimitReportMessage &)>;
     using VersionsHandler = std::function<void(const InstanceId &, const TableVersions &)>;
 
     PresenceDriver(EventLoop &loop, PeerLinks &links, InstanceDirectory &directory);
@@ -51,10 +54,21 @@
     /// Sends a health report to the entry instances of all failure domains.
     void sendHealthReport(const HealthReportMessage &report);
 
+    void setLimitReportHandler(LimitReportHandler handler)
+    {
+        limitReportHandler_ = std::move(handler);
+    }
+    /// Sends a limit report to all instances, since any instance may get requests of callers. The
+    /// entry instances of other failure domains pass it on in their domain.
+    void sendLimitReport(const LimitReportMessage &report);
+
 private:
     void announce();
     void receivePresence(const InstanceId &from, std::string_view payload);
     void receiveHealthReport(const InstanceId &from, std::string_view payload);
+    void receiveLimitReport(const InstanceId &from, std::string_view payload);
+    void sendReport(const std::vector<InstanceRecord> &receivers, MessageKind kind,
+                    const std::string &message);
     void receiveList(const InstanceId &from, std::string_view payload);
     void compareKnownInstances(const InstanceId &from, const PresenceMessage &presence);
     void sendList(const InstanceId &to, bool isReply);
@@ -65,6 +79,7 @@
     PeerLinks &links_;
     InstanceDirectory &directory_;
     HealthReportHandler healthReportHandler_;
+    LimitReportHandler limitReportHandler_;
     std::function<TableVersions()> versionsProvider_;
     VersionsHandler versionsHandler_;
     InstanceState state_;
--- a/packages/qz_presence/exchange/presencemessages.h
+++ b/packages/qz_presence/exchange/presencemessages.h
@@ -48,4 +48,15 @@
     MSGPACK_DEFINE(server_, incarnation_, ejectionTime_)
 };
 
+/// Reports the limit that a backend server names, or that it no longer names one.
+struct LimitReportMessage
+{
+    BackendServerId server_;
+    std::int64_t incarnation_ = 0; ///< Incarnation of the backend server.
+    bool isLimited_ = false;
+    double requestsPerSecond_ = 0.0; ///< From all instances together; unused without a limit.
+
+    MSGPACK_DEFINE(server_, incarnation_, isLimited_, requestsPerSecond_)
+};
+
 } // namespace qz
--- a/packages/qz_replica/tests/replicatest.cpp
+++ b/packages/qz_replica/tests/replicatest.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <memory>
 
 using namespace std::chrono_literals;
@@ -207,3 +208,32 @@
         BOOST_TEST(node->replicas_->version("u") == 4);
     }
 }
+
+// Guards against requests from instances that do not know the limit of a server.
+BOOST_AUTO_TEST_CASE(limitReportReachesAllInstances)
+{
+    qz::EventLoop loop;
+    Node a(loop, "a", "d");
+    Node b(loop, "b", "d");
+    Node c(loop, "c", "d");
+    Node remote1(loop, "r1", "e");
+    Node remote2(loop, "r2", "e");
+    const std::vector<Node *> all{ &a, &b, &c, &remote1, &remote2 };
+    addAllInstances(all);
+    std::vector<double> rates;
+    for (Node *node : all) {
+        node->presence_->setState({ true, false });
+        node->presence_->start();
+        node->presence_->setLimitReportHandler([&rates](const qz::LimitReportMessage &report) {
+            rates.push_back(report.requestsPerSecond_);
+        });
+    }
+    loop.runFor(600ms);
+    a.presence_->sendLimitReport({ qz::BackendServerId("s"), 1, true, 2.5 });
+    a.presence_->sendLimitReport({ qz::BackendServerId("s"), 1, true, std::nan("") });
+    loop.runFor(200ms);
+    BOOST_TEST(rates.size() == 4);
+    for (const double rate : rates) {
+        BOOST_TEST(rate == 2.5);
+    }
+}
