Never believe a refusal without an id on a connection that was used before

Another operator's report: a server wrote an earlier refusal once more on a kept connection, and the next request was reported as not run, or sent to a second server, although the first one ran it.

Cause: a response without a request id was taken for the response to the request in progress. A refusal is the one such response that promises something.

Change: on a connection that carried a request before, a refusal without an id counts as a broken response: the request may have run. With another request's id it was skipped already.

Evidence: repeatedRefusalOnAKeptConnectionIsNotBelieved failed before, the non-repeatable request ran at the second server too, and passes now.

--- a/packages/qz_forward/requests/forwardedrequest.cpp
+++ b/packages/qz_forward/requests/forwardedrequest.cpp
@@ -352,11 +352,13 @@
 {
     const ForwardHeaders &names = forwarder_.settings().headers_;
     const HttpHead &head = attempt.responseHead();
-    if (head.status_ == statusMisdirectedRequest) {
-        return AttemptResult::WrongInstance;
-    }
-    if (head.headers_.find(names.notRun_)) {
-        return AttemptResult::Shed;
+    const bool isMisdirected = head.status_ == statusMisdirectedRequest;
+    if (isMisdirected || head.headers_.find(names.notRun_)) {
+        // On a used connection, a refusal without an id can be a copy of one to an earlier request.
+        if (attempt.isConnectionReused() && !head.headers_.find(names.requestId_)) {
+            return AttemptResult::Cut;
+        }
+        return isMisdirected ? AttemptResult::WrongInstance : AttemptResult::Shed;
     }
     if (head.status_ >= firstServerErrorStatus) {
         return AttemptResult::ServerError;
--- a/packages/qz_forward/tests/forwardertest.cpp
+++ b/packages/qz_forward/tests/forwardertest.cpp
@@ -265,6 +265,47 @@
     BOOST_TEST(statusOf(fixture.sendRequest()) == 502);
 }
 
+// Guards against "not run" for a request that a server runs, because the server writes an earlier
+// refusal once more on the kept connection.
+BOOST_AUTO_TEST_CASE(repeatedRefusalOnAKeptConnectionIsNotBelieved)
+{
+    for (const std::string &id : { std::string(), std::string("X-Id: 0\r\n") }) {
+        Fixture fixture;
+        fixture.setRoute(false);
+        const RawServer &faulty = fixture.addServer("a", [&id](bufferevent *stream, int reads) {
+            const std::string refusal =
+                    "HTTP/1.1 503 Full\r\n" + id + "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            write(stream, reads == 1 ? successResponse : refusal);
+        });
+        const RawServer &second = fixture.addServer("b", respondWith(successResponse));
+        // The first two requests go to one server each, the third one to the near server again.
+        BOOST_TEST(statusOf(fixture.sendRequest(30ms)) == 200);
+        BOOST_TEST(statusOf(fixture.sendRequest(30ms)) == 200);
+        const std::string response = fixture.sendRequest(3s);
+        BOOST_TEST(faulty.connectionCount() == 1);
+        BOOST_TEST(faulty.readCount() == 2);
+        BOOST_TEST(second.readCount() == 1);
+        BOOST_TEST(!contains(response, "not-run"));
+        BOOST_TEST((statusOf(response) == 502 || statusOf(response) == 504));
+    }
+}
+
+// Guards against a success with an empty or short body, if a server closes within the head.
+BOOST_AUTO_TEST_CASE(responseThatEndsWithinItsHeadIsNeverPassedOn)
+{
+    const std::size_t headSize = successResponse.size() - 2;
+    for (std::size_t size = 0; size < headSize; ++size) {
+        Fixture fixture;
+        fixture.setRoute(false);
+        fixture.addServer("a", [size](bufferevent *stream, int /*reads*/) {
+            (void)send(bufferevent_getfd(stream), successResponse.data(), size, MSG_NOSIGNAL);
+            shutdown(bufferevent_getfd(stream), SHUT_WR);
+        });
+        BOOST_TEST_INFO("bytes of the head: " << size);
+        BOOST_TEST(statusOf(fixture.sendRequest(20ms)) == 502);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(status503WithoutNotRunHeaderDoesNotProveThatTheRequestWasNotRun)
 {
     Fixture fixture;
