Request a table from the next announcer if the first one does not send it

Cause: a domain without access to the store kept one announcer of a version and requested the table from it once. If that instance was gone, the version did not arrive before the next one.

Change: all announcers of the version are kept and asked one after the other, 0.6 s apart.

Evidence: tableIsRequestedFromAnotherDomainIfItsFirstAnnouncerIsGone failed before with version 0 instead of 3 and passes now.

--- a/packages/qz_replica/exchange/replicaexchange.cpp
+++ b/packages/qz_replica/exchange/replicaexchange.cpp
@@ -19,6 +19,11 @@
 /// long.
 constexpr Duration minRequestInterval = std::chrono::milliseconds(500);
 
+/// Time after which a table that was requested from another failure domain, and has not arrived, is
+/// requested from the next instance that announced it.
+constexpr Duration responseTime = std::chrono::milliseconds(600);
+static_assert(responseTime > minRequestInterval);
+
 /// Maximum number of bytes of a snapshot that an instance sends to all other instances of its
 /// domain together. The slowest links transfer this in a fifth of a second.
 constexpr std::size_t broadcastLimitBytes = std::size_t(256) * 1024;
@@ -170,7 +175,10 @@
     }
     RemoteVersion &remote = remoteVersions_[message.value().table_];
     if (message.value().version_ > remote.version_) {
-        remote = { from, message.value().version_ };
+        remote = { message.value().version_, {} };
+    }
+    if (message.value().version_ == remote.version_) {
+        remote.holders_.push_back(from);
     }
     if (checkTimer_ == nullptr) {
         checkTimer_ = loop_.callAfter(storeReadTime, [this] { checkRemoteVersions(); });
@@ -180,15 +188,24 @@
 void ReplicaExchange::checkRemoteVersions()
 {
     checkTimer_.reset();
-    for (const auto &[table, remote] : std::exchange(remoteVersions_, {})) {
-        if (remote.version_ > version(table)) {
-            log(LogLevel::Info, "table-behind",
-                { { "table", table },
-                  { "version", version(table) },
-                  { "known_version", remote.version_ },
-                  { "from", remote.from_.value() } });
-            requestNewerTables(remote.from_, { { table, remote.version_ } });
+    for (auto entry = remoteVersions_.begin(); entry != remoteVersions_.end();) {
+        auto &[table, remote] = *entry;
+        if (remote.version_ <= version(table) || remote.holders_.empty()) {
+            entry = remoteVersions_.erase(entry);
+            continue;
         }
+        const InstanceId holder = remote.holders_.front();
+        remote.holders_.pop_front();
+        log(LogLevel::Info, "table-behind",
+            { { "table", table },
+              { "version", version(table) },
+              { "known_version", remote.version_ },
+              { "from", holder.value() } });
+        requestNewerTables(holder, { { table, remote.version_ } });
+        ++entry;
+    }
+    if (!remoteVersions_.empty()) {
+        checkTimer_ = loop_.callAfter(responseTime, [this] { checkRemoteVersions(); });
     }
 }
 
--- a/packages/qz_replica/exchange/replicaexchange.h
+++ b/packages/qz_replica/exchange/replicaexchange.h
@@ -7,6 +7,7 @@
 #include "qz_presence/exchange/presencemessages.h"
 #include "qz_replica/table/tablereplica.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -40,7 +41,8 @@
 ///
 /// The readers of other failure domains get only the new version number, since they read the store
 /// themselves. A reader that still has an older version shortly afterwards has lost its connection
-/// to the store without noticing; it requests the table and distributes it in its own domain.
+/// to the store without noticing; it requests the table, from one announcing instance after the
+/// other, and distributes it in its own domain.
 /// @see TableReplica, PresenceDriver
 class ReplicaExchange
 {
@@ -74,11 +76,11 @@
         UpdateHandler handler_;
         TimePoint requestedAt_{}; ///< Time of the last request for a snapshot.
     };
-    /// The version of a table that an instance of another failure domain has announced.
+    /// The version of a table that instances of other failure domains have announced.
     struct RemoteVersion
     {
-        InstanceId from_;
         std::uint64_t version_ = 0;
+        std::deque<InstanceId> holders_; ///< Those that were not asked for the table yet.
     };
     /// @p source is "store" or the id of the instance that sent the update.
     bool apply(const TableUpdate &update, const std::string &source);
--- a/packages/qz_replica/tests/replicatest.cpp
+++ b/packages/qz_replica/tests/replicatest.cpp
@@ -209,6 +209,26 @@
     }
 }
 
+// Guards against a version that does not reach a domain without access to the store, because the
+// first instance that announced it is gone.
+BOOST_AUTO_TEST_CASE(tableIsRequestedFromAnotherDomainIfItsFirstAnnouncerIsGone)
+{
+    qz::EventLoop loop;
+    auto first = std::make_unique<Node>(loop, "a", "d");
+    Node second(loop, "x", "f");
+    Node b(loop, "b", "e");
+    Node c(loop, "c", "e");
+    addAllInstances({ first.get(), &second, &b, &c });
+    first->replicas_->publish(makeSnapshot(3, { { "k", "v", false } }));
+    loop.runFor(200ms);
+    second.replicas_->publish(makeSnapshot(3, { { "k", "v", false } }));
+    loop.runFor(200ms);
+    first.reset();
+    loop.runFor(1400ms);
+    BOOST_TEST(b.replicas_->version("t") == 3);
+    BOOST_TEST(c.replicas_->version("t") == 3);
+}
+
 // Guards against requests from instances that do not know the limit of a server.
 BOOST_AUTO_TEST_CASE(limitReportReachesAllInstances)
 {
