Let the soak's servers name the request's id in refusals

The platform's backend servers do so in each response. Without it the soak's refusals on kept connections would count as unknown outcomes since refusals without an id are not believed there.

--- a/tests/soak/soakservers.cpp
+++ b/tests/soak/soakservers.cpp
@@ -88,6 +88,8 @@
     lastRequestAt_ = loop_.now();
     HttpHead refusal;
     refusal.headers_.add(names.notRun_, "1");
+    refusal.headers_.add(names.requestId_,
+                         exchange->head().headers_.find(names.requestId_).value_or(""));
     if (exchange->head().headers_.find(names.expectServer_).value_or(id_) != id_) {
         refusal.status_ = 421;
         exchange->reply(refusal, "");
