--- a/packages/qz_forward/requests/forwarder.h
+++ b/packages/qz_forward/requests/forwarder.h
@@ -85,8 +85,8 @@
     void deferRequests(Duration limit);
     void startDeferredRequests();
 
-    /// Rejects requests from now on that may take longer than until @p stopTime, when this instance
-    /// stops.
+    /// Announces that this instance stops at @p stopTime. Requests that may not end before it are
+    /// rejected from now on.
     void setStopTime(TimePoint stopTime) { stopTime_ = stopTime; }
 
     /// Takes over a caller's request and forwards it.
--- a/packages/qz_placement/limits/serverratelimit.h
+++ b/packages/qz_placement/limits/serverratelimit.h
@@ -52,8 +52,8 @@
     std::optional<Duration> timeUntilFree(TimePoint now) const;
 
 private:
-    /// Requests that may be sent at @p now; at most one, and negative after requests that were sent
-    /// before the limit was known.
+    /// Requests that may be sent at @p now, at most one. Negative after requests that were sent
+    /// although none was allowed.
     double tokens(TimePoint now) const;
     void updateTokens(TimePoint now);
 
