--- a/packages/qz_replica/exchange/replicaexchange.cpp
+++ b/packages/qz_replica/exchange/replicaexchange.cpp
@@ -30,6 +30,15 @@
 /// Number of instances that get a larger snapshot directly; the others request it from these.
 constexpr std::size_t firstReceiverCount = 3;
 
+void logSending(const TableUpdate &update, std::size_t messageBytes, std::size_t receiverCount)
+{
+    log(LogLevel::Info, "table-sent",
+        { { "table", update.table_ },
+          { "version", update.version_ },
+          { "bytes", messageBytes },
+          { "receivers", receiverCount } });
+}
+
 } // namespace
 
 ReplicaExchange::ReplicaExchange(EventLoop &loop, PeerLinks &links,
@@ -91,6 +100,9 @@
     if (update.isSnapshot_ && message.size() * receivers.size() > broadcastLimitBytes) {
         receivers.resize(std::min(receivers.size(), firstReceiverCount));
     }
+    if (!update.rows_.empty()) {
+        logSending(update, message.size(), receivers.size());
+    }
     for (const InstanceRecord &receiver : receivers) {
         // An instance that does not get the update learns from the next presence message that
         // its version is outdated.
@@ -220,10 +232,12 @@
     if (found == tables_.end() || found->second.replica_.version() <= request.value().version_) {
         return;
     }
+    const TableUpdate snapshot = found->second.replica_.makeSnapshot();
+    const std::string message = packMessage(snapshot);
+    logSending(snapshot, message.size(), 1);
     // If the response is lost, an instance of the same domain requests the table again after a
     // later presence message.
-    (void)links_.send(from, MessageKind::TableUpdate,
-                      packMessage(found->second.replica_.makeSnapshot()));
+    (void)links_.send(from, MessageKind::TableUpdate, message);
 }
 
 } // namespace qz
