--- a/packages/qz_replica/tests/replicatest.cpp
+++ b/packages/qz_replica/tests/replicatest.cpp
@@ -1,6 +1,7 @@
 // Tests of table replicas, and of their distribution between instances over real links.
 #include "qz_replica/qz_replica.h"
 
+#include "qz_fleet/messages/packing.h"
 #include "qz_http/tests/rawsocket.h"
 #include "qz_presence/exchange/presencedriver.h"
 
@@ -88,22 +89,39 @@
     }
 }
 
+/// What a link of 10 Mbit/s transfers in 0.4 s.
+constexpr std::size_t narrowLinkBytes = 500'000;
+
+/// A row like a configuration with many routes.
+const qz::ReplicaRow largeRow{ "config", std::string(200'000, 'c'), false };
+
+/// Instances of one failure domain that know each other and exchange presence messages.
+struct Domain
+{
+    Domain(qz::EventLoop &loop, int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            nodes_.push_back(std::make_unique<Node>(loop, "n" + std::to_string(i), "d"));
+            all_.push_back(nodes_.back().get());
+        }
+        addAllInstances(all_);
+        for (Node *node : all_) {
+            node->presence_->start();
+        }
+        loop.runFor(200ms);
+    }
+
+    std::vector<std::unique_ptr<Node>> nodes_;
+    std::vector<Node *> all_;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(largeTableReachesAllInstancesAndIsAppliedOnce)
 {
     qz::EventLoop loop;
-    std::vector<std::unique_ptr<Node>> nodes;
-    std::vector<Node *> all;
-    for (int i = 0; i < 8; ++i) {
-        nodes.push_back(std::make_unique<Node>(loop, "n" + std::to_string(i), "d"));
-        all.push_back(nodes.back().get());
-    }
-    addAllInstances(all);
-    for (Node *node : all) {
-        node->presence_->start();
-    }
-    loop.runFor(200ms);
+    Domain domain(loop, 8);
+    const std::vector<Node *> &all = domain.all_;
     constexpr int count = 400;
     std::vector<qz::ReplicaRow> rows;
     rows.reserve(count);
@@ -118,6 +136,55 @@
     }
 }
 
+// Guards against a reader whose link is busy for seconds with one large configuration.
+BOOST_AUTO_TEST_CASE(largeChangeIsNotSentToTheWholeDomainByOneInstance)
+{
+    qz::EventLoop loop;
+    Domain domain(loop, 12);
+    Node &reader = *domain.all_[0];
+    reader.replicas_->publish(makeSnapshot(7, { { "config", "small", false } }));
+    loop.runFor(200ms);
+    reader.replicas_->publish(makeChange(7, 9, { largeRow }));
+    BOOST_TEST(reader.links_->unsentBytes() < narrowLinkBytes);
+    loop.runFor(2s);
+    for (const Node *node : domain.all_) {
+        BOOST_TEST(node->replicas_->version("t") == 9);
+        BOOST_TEST(node->updates_ == 2);
+    }
+}
+
+// Guards against instances that all request a large table from the first one that announces it.
+BOOST_AUTO_TEST_CASE(largeTableIsNotSentToAllThatRequestItAtOnce)
+{
+    qz::EventLoop loop;
+    Domain domain(loop, 12);
+    Node &holder = *domain.all_[0];
+    std::size_t receivedBytes = 0;
+    for (Node *node : domain.all_) {
+        if (node == &holder) {
+            continue;
+        }
+        // Not ReplicaExchange: the requests are to arrive at the same moment.
+        node->links_->setHandler(qz::MessageKind::TableUpdate,
+                                 [&receivedBytes](const auto &, std::string_view payload) {
+                                     receivedBytes += payload.size();
+                                 });
+        node->presence_->setVersionsHandler(nullptr);
+    }
+    holder.replicas_->publish(makeSnapshot(7, { largeRow }));
+    loop.runFor(1500ms);
+    receivedBytes = 0;
+    for (Node *node : domain.all_) {
+        if (node != &holder) {
+            (void)node->links_->send(holder.record_.id_, qz::MessageKind::TableRequest,
+                                     qz::packMessage(qz::TableRequestMessage{ "t", 3 }));
+        }
+    }
+    loop.runFor(100ms);
+    BOOST_TEST(receivedBytes > 0);
+    BOOST_TEST(receivedBytes < narrowLinkBytes);
+}
+
 BOOST_AUTO_TEST_CASE(instancesWithDifferentListsOfInstancesExchangeThem)
 {
     qz::EventLoop loop;
