Distribute a large table through instances with wide links

On a link of 10 Mbit/s this lasted 5 s, in which the reader's calls to the store and its heartbeats waited behind it, so that it lost its links and its own next version. Instances that missed an update all requested it from the first announcer, and again before the response had arrived.

Change: an instance estimates how long its link is busy with tables, and starts no transfer beyond 0.2 s. It sends an update to as many instances as that permits, those with the widest links first, each with its part of the others to send it on to. A request that would exceed this is ignored, and repeated to another instance; a large table is requested when an update that is on its way should have arrived. The capacity of the link is a setting, which instances learn of each other with their records.

--- a/apps/quetzaldaled/main.cpp
+++ b/apps/quetzaldaled/main.cpp
@@ -73,6 +73,8 @@
   --store-address=IP:PORT     the platform's store
   --processor-share=X         part of a core that it may use; larger ones take
                               callers first; 1
+  --link-capacity-mbps=X      what its network link carries; wider ones send long
+                              tables on; 10
   --instances-per-entry=N     callers of a failure domain use one instance of each
                               N, rounded up; 16
   --retry-budget-ratio=X      second tries for each request, all instances; 0.2
--- a/apps/quetzaldaled/serve/servedaemon.cpp
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -118,8 +118,8 @@
 
 InstanceRecord ServeDaemon::makeSelf() const
 {
-    return { settings_.instanceId_, settings_.callerAddress_, settings_.peerAddress_,
-             settings_.location_, settings_.processorShare_ };
+    return { settings_.instanceId_, settings_.callerAddress_,  settings_.peerAddress_,
+             settings_.location_,   settings_.processorShare_, settings_.linkCapacity_ };
 }
 
 std::unique_ptr<PeerLinks> ServeDaemon::makeLinks()
--- a/apps/quetzaldaled/serve/servesettings.cpp
+++ b/apps/quetzaldaled/serve/servesettings.cpp
@@ -71,6 +71,10 @@
         reader.addProblem("fleet-key", "must have at least 16 characters");
     }
     settings.processorShare_ = readNumber(reader, "processor-share", "1");
+    settings.linkCapacity_ = readNumber(reader, "link-capacity-mbps", "10");
+    if (settings.linkCapacity_ == 0.0) {
+        reader.addProblem("link-capacity-mbps", "must be above 0");
+    }
     settings.instancesPerEntry_ = static_cast<std::size_t>(
             reader.integer("instances-per-entry", 1, maxInstancesPerEntry, 16));
     settings.retryBudget_.ratio_ = readNumber(reader, "retry-budget-ratio", "0.2");
@@ -100,6 +104,7 @@
              { "peer-address", toString(peerAddress_) },
              { "store-address", toString(storeAddress_) },
              { "processor-share", processorShare_ },
+             { "link-capacity-mbps", linkCapacity_ },
              { "instances-per-entry", instancesPerEntry_ },
              { "retry-budget-ratio", retryBudget_.ratio_ },
              { "retry-budget-slack", retryBudget_.slack_ },
--- a/apps/quetzaldaled/serve/servesettings.h
+++ b/apps/quetzaldaled/serve/servesettings.h
@@ -29,6 +29,7 @@
     Endpoint storeAddress_;
     std::string fleetKey_;        ///< Never logged.
     double processorShare_ = 1.0; ///< Part of a processor core that this instance may use.
+    double linkCapacity_ = 10.0;  ///< Of its network link, in Mbit/s.
     std::size_t instancesPerEntry_ = 16;
     RetryBudgetLimits retryBudget_;
     Duration addressKeepTime_{}; ///< How long callers may cache an answer of the directory.
--- a/packages/qz_presence/directory/instancedirectory.cpp
+++ b/packages/qz_presence/directory/instancedirectory.cpp
@@ -19,7 +19,7 @@
 bool isSame(const InstanceRecord &a, const InstanceRecord &b)
 {
     return a.callerEndpoint_ == b.callerEndpoint_ && a.peerEndpoint_ == b.peerEndpoint_
-            && a.processorShare_ == b.processorShare_
+            && a.processorShare_ == b.processorShare_ && a.linkCapacity_ == b.linkCapacity_
             && a.location_.failureDomain_ == b.location_.failureDomain_;
 }
 
@@ -155,6 +155,18 @@
     return preferredInstances(self_.location_.failureDomain_.value(), std::move(ids), count);
 }
 
+std::vector<InstanceRecord> InstanceDirectory::relays(TimePoint now) const
+{
+    std::vector<InstanceRecord> peers = domainPeers();
+    const auto rank = [this, now](const InstanceRecord &record) {
+        const bool isLive = isLiveInSameDomain(others_.at(record.id_.value()), now);
+        return std::make_pair(isLive, record.linkCapacity_);
+    };
+    std::stable_sort(peers.begin(), peers.end(),
+                     [&rank](const auto &a, const auto &b) { return rank(a) > rank(b); });
+    return peers;
+}
+
 std::vector<InstanceRecord> InstanceDirectory::remoteEntries() const
 {
     return preferredInOtherDomains("", [this](std::size_t size) { return entriesOf(size); });
--- a/packages/qz_presence/directory/instancedirectory.h
+++ b/packages/qz_presence/directory/instancedirectory.h
@@ -21,8 +21,9 @@
     Endpoint peerEndpoint_;   ///< Address that other instances connect to.
     Location location_;
     double processorShare_ = 1.0; ///< Share of a processor core that the instance may use.
+    double linkCapacity_ = 10.0;  ///< Capacity of its network link in Mbit/s; above zero.
 
-    MSGPACK_DEFINE(id_, callerEndpoint_, peerEndpoint_, location_, processorShare_)
+    MSGPACK_DEFINE(id_, callerEndpoint_, peerEndpoint_, location_, processorShare_, linkCapacity_)
 };
 
 /// The properties of an instance that may change while it runs.
@@ -92,6 +93,10 @@
     /// Returns the other instances of this failure domain, in the order of preference for callers.
     std::vector<InstanceRecord> domainPeers() const;
 
+    /// Returns the other instances of this failure domain in the order in which they pass on large
+    /// messages: live ones first, then by the capacity of their links.
+    std::vector<InstanceRecord> relays(TimePoint now) const;
+
     /// Returns the entry instances of each other failure domain, assuming that all of its
     /// instances are live.
     std::vector<InstanceRecord> remoteEntries() const;
--- a/packages/qz_replica/exchange/replicaexchange.cpp
+++ b/packages/qz_replica/exchange/replicaexchange.cpp
@@ -24,11 +24,12 @@
 constexpr Duration responseTime = std::chrono::milliseconds(600);
 static_assert(responseTime > minRequestInterval);
 
-/// Maximum number of bytes of a snapshot that an instance sends to all other instances of its
-/// domain together. The slowest links transfer this in a fifth of a second.
-constexpr std::size_t broadcastLimitBytes = std::size_t(256) * 1024;
-/// Number of instances that get a larger snapshot directly; the others request it from these.
-constexpr std::size_t firstReceiverCount = 3;
+/// Number of transfers of a large table until a pushed update reaches an instance: from the store,
+/// from the reader and from an instance that sends it on.
+constexpr int pushTransfers = 3;
+
+/// Number of transfers after which a requested table has arrived.
+constexpr int requestTransfers = 2;
 
 void logSending(const TableUpdate &update, std::size_t messageBytes, std::size_t receiverCount)
 {
@@ -46,6 +47,7 @@
     : loop_(loop)
     , links_(links)
     , directory_(directory)
+    , link_(directory.self().linkCapacity_)
 {
 }
 
@@ -58,7 +60,7 @@
 
 void ReplicaExchange::addTable(const std::string &table, UpdateHandler handler)
 {
-    tables_.emplace(table, Table{ TableReplica(table), std::move(handler), {} });
+    tables_.emplace(table, Table{ TableReplica(table), std::move(handler), {}, {} });
 }
 
 void ReplicaExchange::start()
@@ -82,7 +84,7 @@
     if (!apply(update, "store")) {
         return; // The update from another instance arrived first.
     }
-    sendToDomain(update);
+    distribute(update, directory_.relays(loop_.now()));
     if (update.rows_.empty()) {
         return;
     }
@@ -93,20 +95,41 @@
     }
 }
 
-void ReplicaExchange::sendToDomain(const TableUpdate &update)
+void ReplicaExchange::distribute(TableUpdate update, const std::vector<InstanceRecord> &receivers)
 {
-    const std::string message = packMessage(update);
-    auto receivers = directory_.domainPeers();
-    if (update.isSnapshot_ && message.size() * receivers.size() > broadcastLimitBytes) {
-        receivers.resize(std::min(receivers.size(), firstReceiverCount));
+    if (receivers.empty()) {
+        return;
     }
+    update.relayTo_.clear();
+    const std::string message = packMessage(update);
+    const std::size_t available = link_.availableMessages(message.size(), loop_.now());
+    const std::size_t directCount = std::clamp<std::size_t>(available, 1, receivers.size());
     if (!update.rows_.empty()) {
-        logSending(update, message.size(), receivers.size());
+        logSending(update, message.size(), directCount);
+    }
+    std::vector<std::vector<InstanceId>> relayed(directCount);
+    for (std::size_t i = directCount; i < receivers.size(); ++i) {
+        const auto timeOf = [&receivers, &relayed](std::size_t relay) {
+            return double(relayed[relay].size() + 1) / receivers[relay].linkCapacity_;
+        };
+        std::size_t quickest = 0;
+        for (std::size_t relay = 1; relay < directCount; ++relay) {
+            quickest = timeOf(relay) < timeOf(quickest) ? relay : quickest;
+        }
+        relayed[quickest].push_back(receivers[i].id_);
     }
-    for (const InstanceRecord &receiver : receivers) {
-        // An instance that does not get the update learns from the next presence message that
-        // its version is outdated.
-        (void)links_.send(receiver.id_, MessageKind::TableUpdate, message);
+    for (std::size_t i = 0; i < directCount; ++i) {
+        update.relayTo_ = std::move(relayed[i]);
+        sendUpdate(receivers[i].id_, update.relayTo_.empty() ? message : packMessage(update));
+    }
+}
+
+void ReplicaExchange::sendUpdate(const InstanceId &to, const std::string &message)
+{
+    // An instance that does not get the update learns from a later presence message that its
+    // version is outdated, and requests the table.
+    if (links_.send(to, MessageKind::TableUpdate, message).has_value()) {
+        link_.recordSent(message.size(), loop_.now());
     }
 }
 
@@ -124,6 +147,7 @@
               { "snapshot", update.isSnapshot_ },
               { "rows", update.rows_.size() } });
     }
+    found->second.outdatedSince_.reset();
     found->second.handler_(update);
     return true;
 }
@@ -147,20 +171,44 @@
 {
     for (const auto &[name, version] : versions) {
         const auto found = tables_.find(name);
-        if (found != tables_.end() && version > found->second.replica_.version()
-            && loop_.now() - found->second.requestedAt_ >= minRequestInterval) {
-            found->second.requestedAt_ = loop_.now();
-            log(LogLevel::Info, "table-requested",
-                { { "table", name },
-                  { "version", found->second.replica_.version() },
-                  { "known_version", version },
-                  { "from", from.value() } });
-            // Within the domain, a lost request is repeated after a later presence message.
-            (void)links_.send(
-                    from, MessageKind::TableRequest,
-                    packMessage(TableRequestMessage{ name, found->second.replica_.version() }));
+        if (found == tables_.end() || version <= found->second.replica_.version()) {
+            continue;
+        }
+        Table &table = found->second;
+        if (!table.outdatedSince_) {
+            table.outdatedSince_ = loop_.now();
         }
+        // An update that is on its way would arrive twice.
+        const Duration pushTime = pushTransfers * link_.transferTime(table.replica_.bytes());
+        if (loop_.now() - *table.outdatedSince_ >= pushTime) {
+            (void)requestTable(name, from, version);
+        }
+    }
+}
+
+bool ReplicaExchange::requestTable(const std::string &name, const InstanceId &from,
+                                   std::uint64_t version)
+{
+    const auto found = tables_.find(name);
+    if (found == tables_.end()) {
+        return false;
     }
+    Table &table = found->second;
+    const Duration transfer = link_.transferTime(table.replica_.bytes());
+    if (loop_.now() - table.requestedAt_
+        < std::max(minRequestInterval, requestTransfers * transfer)) {
+        return false;
+    }
+    table.requestedAt_ = loop_.now();
+    log(LogLevel::Info, "table-requested",
+        { { "table", name },
+          { "version", table.replica_.version() },
+          { "known_version", version },
+          { "from", from.value() } });
+    // A lost request is repeated after a later presence message.
+    (void)links_.send(from, MessageKind::TableRequest,
+                      packMessage(TableRequestMessage{ name, table.replica_.version() }));
+    return true;
 }
 
 void ReplicaExchange::receiveUpdate(const InstanceId &from, std::string_view payload)
@@ -170,9 +218,19 @@
         log(LogLevel::Warning, "table-update-malformed", { { "from", from.value() } });
         return;
     }
-    if (apply(update.value(), from.value()) && !directory_.isInSameDomain(from)) {
-        sendToDomain(update.value());
+    if (!apply(update.value(), from.value())) {
+        return; // Whoever sent it first has sent it to the others, too.
     }
+    std::vector<InstanceRecord> receivers = directory_.relays(loop_.now());
+    if (directory_.isInSameDomain(from)) {
+        const std::vector<InstanceId> &relayTo = update.value().relayTo_;
+        const auto isOther = [&relayTo](const InstanceRecord &record) {
+            return std::find(relayTo.begin(), relayTo.end(), record.id_) == relayTo.end();
+        };
+        receivers.erase(std::remove_if(receivers.begin(), receivers.end(), isOther),
+                        receivers.end());
+    }
+    distribute(update.value(), receivers);
 }
 
 void ReplicaExchange::receiveVersion(const InstanceId &from, std::string_view payload)
@@ -207,13 +265,14 @@
             continue;
         }
         const InstanceId holder = remote.holders_.front();
-        remote.holders_.pop_front();
         log(LogLevel::Info, "table-behind",
             { { "table", table },
               { "version", version(table) },
               { "known_version", remote.version_ },
               { "from", holder.value() } });
-        requestNewerTables(holder, { { table, remote.version_ } });
+        if (requestTable(table, holder, remote.version_)) {
+            remote.holders_.pop_front();
+        }
         ++entry;
     }
     if (!remoteVersions_.empty()) {
@@ -234,10 +293,11 @@
     }
     const TableUpdate snapshot = found->second.replica_.makeSnapshot();
     const std::string message = packMessage(snapshot);
-    logSending(snapshot, message.size(), 1);
-    // If the response is lost, an instance of the same domain requests the table again after a
-    // later presence message.
-    (void)links_.send(from, MessageKind::TableUpdate, message);
+    const bool isLinkFree = link_.availableMessages(message.size(), loop_.now()) > 0;
+    logSending(snapshot, message.size(), isLinkFree ? 1 : 0);
+    if (isLinkFree) {
+        sendUpdate(from, message);
+    }
 }
 
 } // namespace qz
--- a/packages/qz_replica/exchange/replicaexchange.h
+++ b/packages/qz_replica/exchange/replicaexchange.h
@@ -5,13 +5,16 @@
 #include "qz_fleet/links/peerlinks.h"
 #include "qz_presence/directory/instancedirectory.h"
 #include "qz_presence/exchange/presencemessages.h"
+#include "qz_replica/exchange/linkusage.h"
 #include "qz_replica/table/tablereplica.h"
 
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace qz {
 
@@ -36,8 +39,12 @@
 /// Keeps the table replicas of an instance up to date. An instance that has read an update from
 /// the store sends it to all other instances of its failure domain. An instance may have an older
 /// version than another one announces, because a message was lost or because it has just started;
-/// it then requests a snapshot of the table. A large snapshot is sent to a few instances first,
-/// which are the preferred ones for callers; the other instances request it from them.
+/// it then requests a snapshot of the table.
+///
+/// No instance occupies its link with tables for longer than LinkUsage allows. It sends a large
+/// update to as many instances as that permits, those with the widest links first, and each of
+/// them sends it on to a part of the others. It ignores requests that it cannot answer in time;
+/// they are repeated to other instances.
 ///
 /// The readers of other failure domains get only the new version number, since they read the store
 /// themselves. A reader that still has an older version shortly afterwards has lost its connection
@@ -75,6 +82,8 @@
         TableReplica replica_;
         UpdateHandler handler_;
         TimePoint requestedAt_{}; ///< Time of the last request for a snapshot.
+        /// Time when another instance first announced a newer version than this one has.
+        std::optional<TimePoint> outdatedSince_;
     };
     /// The version of a table that instances of other failure domains have announced.
     struct RemoteVersion
@@ -84,7 +93,11 @@
     };
     /// @p source is "store" or the id of the instance that sent the update.
     bool apply(const TableUpdate &update, const std::string &source);
-    void sendToDomain(const TableUpdate &update);
+    /// Sends @p update to @p receivers, directly or through others of them.
+    void distribute(TableUpdate update, const std::vector<InstanceRecord> &receivers);
+    void sendUpdate(const InstanceId &to, const std::string &message);
+    /// Requests a table unless an earlier request may still be answered. Returns whether it did.
+    bool requestTable(const std::string &name, const InstanceId &from, std::uint64_t version);
     void receiveVersion(const InstanceId &from, std::string_view payload);
     void checkRemoteVersions();
     void receiveUpdate(const InstanceId &from, std::string_view payload);
@@ -93,6 +106,7 @@
     EventLoop &loop_;
     PeerLinks &links_;
     const InstanceDirectory &directory_;
+    LinkUsage link_;
     std::map<std::string, Table> tables_;
     std::map<std::string, RemoteVersion> remoteVersions_; ///< Highest announced version by table.
     Timers::HandlePtr checkTimer_;
--- a/packages/qz_replica/qz_replica.h
+++ b/packages/qz_replica/qz_replica.h
@@ -2,5 +2,6 @@
 // distribute to the other instances of their failure domain.
 #pragma once
 
+#include "qz_replica/exchange/linkusage.h"
 #include "qz_replica/exchange/replicaexchange.h"
 #include "qz_replica/table/tablereplica.h"
--- a/packages/qz_replica/table/tablereplica.cpp
+++ b/packages/qz_replica/table/tablereplica.cpp
@@ -45,4 +45,13 @@
     return update;
 }
 
+std::size_t TableReplica::bytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[key, value] : rows_) {
+        bytes += key.size() + value.size();
+    }
+    return bytes;
+}
+
 } // namespace qz
--- a/packages/qz_replica/table/tablereplica.h
+++ b/packages/qz_replica/table/tablereplica.h
@@ -31,8 +31,9 @@
     /// Time for which rows of existing objects may still be missing after an outage of the store.
     Duration grace_{ 0 };
     std::vector<ReplicaRow> rows_;
+    std::vector<InstanceId> relayTo_; ///< Instances to which the receiver sends the update on.
 
-    MSGPACK_DEFINE(table_, isSnapshot_, fromVersion_, version_, grace_, rows_)
+    MSGPACK_DEFINE(table_, isSnapshot_, fromVersion_, version_, grace_, rows_, relayTo_)
 };
 
 /// A copy of one table.
@@ -56,6 +57,9 @@
     std::uint64_t version() const { return version_; }
     const std::string &name() const { return table_; }
 
+    /// Returns the number of bytes of all keys and values.
+    std::size_t bytes() const;
+
 private:
     const std::string table_;
     std::uint64_t version_ = 0;
