Let instances with wide links read the store for their failure domain

Besides, remoteReaders() ordered by the share of a processor what readerIndex() ordered by the hash alone: where shares differ, versions were announced to instances of other domains that were no readers.

Change: both order by the capacity of the link first; the hash decides between equal ones.

Evidence: instancesWithWideLinksAreReadersInTheViewOfAllDomains failed before, in both parts, and passes now.

--- a/packages/qz_presence/directory/instancedirectory.cpp
+++ b/packages/qz_presence/directory/instancedirectory.cpp
@@ -73,16 +73,16 @@
 
 std::vector<InstanceRecord> InstanceDirectory::preferredInstances(const std::string &key,
                                                                   std::vector<std::string> ids,
-                                                                  std::size_t count) const
+                                                                  Preference preference) const
 {
     std::vector<InstanceRecord> preferred;
     for (const std::string &id : rendezvousOrder(key, std::move(ids))) {
         preferred.push_back(recordOf(id));
     }
-    std::stable_sort(preferred.begin(), preferred.end(), [](const auto &a, const auto &b) {
-        return a.processorShare_ > b.processorShare_;
-    });
-    preferred.resize(std::min(count, preferred.size()));
+    std::stable_sort(preferred.begin(), preferred.end(),
+                     [preference](const InstanceRecord &a, const InstanceRecord &b) {
+                         return a.*preference > b.*preference;
+                     });
     return preferred;
 }
 
@@ -108,8 +108,10 @@
     if (selfState_.isReady_) {
         live.push_back(self_.id_.value());
     }
-    return preferredInstances(self_.location_.failureDomain_.value(), std::move(live),
-                              entriesOf(domainSizes().at(self_.location_.failureDomain_.value())));
+    const std::string &domain = self_.location_.failureDomain_.value();
+    auto preferred = preferredInstances(domain, std::move(live), &InstanceRecord::processorShare_);
+    preferred.resize(std::min(preferred.size(), entriesOf(domainSizes().at(domain))));
+    return preferred;
 }
 
 std::optional<std::size_t> InstanceDirectory::readerIndex(TimePoint now) const
@@ -123,15 +125,16 @@
     std::size_t readerCount = 0;
     std::size_t candidateCount = 0;
     const std::string key = self_.location_.failureDomain_.value() + readersSuffix;
-    for (const std::string &id : rendezvousOrder(key, std::move(live))) {
+    for (const InstanceRecord &record :
+         preferredInstances(key, std::move(live), &InstanceRecord::linkCapacity_)) {
         if (++candidateCount > limits_.readerCandidates_
             || readerCount == limits_.readersPerDomain_) {
             break;
         }
-        if (id == self_.id_.value()) {
+        if (record.id_ == self_.id_) {
             return readerCount;
         }
-        readerCount += others_.at(id).state_.isStoreLost_ ? 0 : 1;
+        readerCount += others_.at(record.id_.value()).state_.isStoreLost_ ? 0 : 1;
     }
     return std::nullopt;
 }
@@ -151,8 +154,8 @@
             ids.push_back(id);
         }
     }
-    const std::size_t count = ids.size();
-    return preferredInstances(self_.location_.failureDomain_.value(), std::move(ids), count);
+    return preferredInstances(self_.location_.failureDomain_.value(), std::move(ids),
+                              &InstanceRecord::processorShare_);
 }
 
 std::vector<InstanceRecord> InstanceDirectory::relays(TimePoint now) const
@@ -169,12 +172,13 @@
 
 std::vector<InstanceRecord> InstanceDirectory::remoteEntries() const
 {
-    return preferredInOtherDomains("", [this](std::size_t size) { return entriesOf(size); });
+    return preferredInOtherDomains("", &InstanceRecord::processorShare_,
+                                   [this](std::size_t size) { return entriesOf(size); });
 }
 
 std::vector<InstanceRecord> InstanceDirectory::remoteReaders() const
 {
-    return preferredInOtherDomains(readersSuffix,
+    return preferredInOtherDomains(readersSuffix, &InstanceRecord::linkCapacity_,
                                    [this](std::size_t) { return limits_.readersPerDomain_; });
 }
 
@@ -186,7 +190,8 @@
 }
 
 std::vector<InstanceRecord> InstanceDirectory::preferredInOtherDomains(
-        const std::string &keySuffix, const std::function<std::size_t(std::size_t)> &countOf) const
+        const std::string &keySuffix, Preference preference,
+        const std::function<std::size_t(std::size_t)> &countOf) const
 {
     std::map<std::string, std::vector<std::string>> domains;
     for (const auto &[id, known] : others_) {
@@ -197,8 +202,9 @@
     std::vector<InstanceRecord> found;
     for (auto &[domain, ids] : domains) {
         const std::size_t count = countOf(ids.size());
-        for (InstanceRecord &record :
-             preferredInstances(domain + keySuffix, std::move(ids), count)) {
+        auto preferred = preferredInstances(domain + keySuffix, std::move(ids), preference);
+        preferred.resize(std::min(preferred.size(), count));
+        for (InstanceRecord &record : preferred) {
             found.push_back(std::move(record));
         }
     }
--- a/packages/qz_presence/directory/instancedirectory.h
+++ b/packages/qz_presence/directory/instancedirectory.h
@@ -87,7 +87,8 @@
     bool isEntry(TimePoint now) const;
 
     /// Returns the number of instances before this one in the order of readers that can read from
-    /// the store, or an empty value if this instance is not one of the readers.
+    /// the store, those with the widest links first, or an empty value if this instance is not one
+    /// of the readers.
     std::optional<std::size_t> readerIndex(TimePoint now) const;
 
     /// Returns the other instances of this failure domain, in the order of preference for callers.
@@ -121,14 +122,18 @@
         bool isLinkLost_ = true;
     };
     bool isLiveInSameDomain(const KnownInstance &known, TimePoint now) const;
+    /// The property of an instance of which more is preferred.
+    using Preference = double InstanceRecord::*;
+    /// Returns the instances @p ids in the order of preference. A rendezvous hash with @p key
+    /// decides between equal ones.
     std::vector<InstanceRecord> preferredInstances(const std::string &key,
                                                    std::vector<std::string> ids,
-                                                   std::size_t count) const;
+                                                   Preference preference) const;
     const InstanceRecord &recordOf(const std::string &id) const;
     /// Returns the preferred instances of each other failure domain. @p countOf maps the number
     /// of a domain's instances to the number of those to return.
     std::vector<InstanceRecord> preferredInOtherDomains(
-            const std::string &keySuffix,
+            const std::string &keySuffix, Preference preference,
             const std::function<std::size_t(std::size_t)> &countOf) const;
     std::size_t entriesOf(std::size_t domainSize) const;
     /// Returns the number of known instances by failure domain.
--- a/packages/qz_presence/tests/instancedirectorytest.cpp
+++ b/packages/qz_presence/tests/instancedirectorytest.cpp
@@ -208,6 +208,33 @@
     BOOST_TEST(directory.entries(start).size() == 2);
 }
 
+// Guards against a reader whose narrow link delays the updates of its whole failure domain, and
+// against versions that are announced to instances that are no readers.
+BOOST_AUTO_TEST_CASE(instancesWithWideLinksAreReadersInTheViewOfAllDomains)
+{
+    const auto addDomain = [](qz::InstanceDirectory &directory, const std::string &domain) {
+        for (int i = 0; i < 6; ++i) {
+            auto record = makeRecord(i, domain);
+            record.processorShare_ = i < 2 ? 2.0 : 0.5;
+            record.linkCapacity_ = i >= 4 ? 200.0 : 20.0;
+            directory.addOrUpdate(record, start);
+        }
+    };
+    for (int i = 0; i < 6; ++i) {
+        auto self = makeRecord(i, "e");
+        self.linkCapacity_ = i >= 4 ? 200.0 : 20.0;
+        qz::InstanceDirectory directory(self, {});
+        addDomain(directory, "e");
+        BOOST_TEST(directory.readerIndex(start).has_value() == (i >= 4));
+    }
+    qz::InstanceDirectory other(makeRecord(0, "f"), {});
+    addDomain(other, "e");
+    auto names = idsOf(other.remoteReaders());
+    std::sort(names.begin(), names.end());
+    const std::vector<std::string> widest{ "e-4", "e-5" };
+    BOOST_TEST(names == widest, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(newInstanceIsNoEntryBeforeItsFirstPresenceMessage)
 {
     qz::InstanceDirectory directory(makeRecord(0), {});
