Ignore what a restored store says of servers if newer is known

Same matter as the restored store: its copy lists servers that were leaving as ready, and servers that left, until the entries are written again or expire. Tables that are followed over the restore would give them new work.

Change: entries have a revision.

--- a/packages/qz_forward/backends/backend.h
+++ b/packages/qz_forward/backends/backend.h
@@ -21,6 +21,8 @@
     BackendServerId id_;
     /// Distinguishes restarts of a server that keeps its id.
     std::int64_t incarnation_ = 0;
+    /// Rises with what the server says of itself during an incarnation.
+    std::int64_t revision_ = 0;
     ServiceId service_;
     Endpoint endpoint_;
     Location location_;
--- a/packages/qz_forward/backends/backendtable.cpp
+++ b/packages/qz_forward/backends/backendtable.cpp
@@ -11,6 +11,12 @@
 
 namespace {
 
+/// Outdated entries of servers that are gone have expired after this time.
+constexpr Duration restorePeriod = std::chrono::seconds(10);
+
+/// A copy from which the list is restored is younger than this.
+constexpr Duration removalMemory = std::chrono::minutes(1);
+
 nlohmann::json toJson(const ListedBackend &listed)
 {
     return { { "server", listed.id_.value() },
@@ -45,6 +51,7 @@
         }
         erase(listed.id_);
     }
+    removed_.erase(listed.id_);
     log(LogLevel::Info, "backend-listed", toJson(listed));
     const auto server = std::make_shared<Backend>(loop_, listed);
     servers_[listed.id_] = server;
@@ -68,7 +75,11 @@
     std::set<BackendServerId> present;
     for (const ListedBackend &entry : listed) {
         present.insert(entry.id_);
-        put(entry);
+        if (loop_.now() < outdatedUntil_ && isOutdated(entry)) {
+            log(LogLevel::Info, "backend-entry-outdated", toJson(entry));
+        } else {
+            put(entry);
+        }
     }
     std::vector<BackendServerId> absent;
     for (const auto &[id, server] : servers_) {
@@ -87,6 +98,24 @@
     graceTimer_ = loop_.callAfter(grace, [this] { endGrace(); });
 }
 
+void BackendTable::expectOutdatedEntries()
+{
+    outdatedUntil_ = loop_.now() + restorePeriod;
+}
+
+bool BackendTable::isOutdated(const ListedBackend &listed) const
+{
+    const auto age = std::make_pair(listed.incarnation_, listed.revision_);
+    const auto known = servers_.find(listed.id_);
+    if (known != servers_.end()) {
+        const ListedBackend &current = known->second->listed();
+        return age < std::make_pair(current.incarnation_, current.revision_);
+    }
+    const auto removed = removed_.find(listed.id_);
+    return removed != removed_.end()
+            && age <= std::make_pair(removed->second.incarnation_, removed->second.revision_);
+}
+
 void BackendTable::endGrace()
 {
     for (const auto &[id, isMissing] : std::exchange(missing_, {})) {
@@ -101,12 +130,23 @@
         return;
     }
     const ServerPtr server = found->second;
+    const ListedBackend &listed = server->listed();
+    forgetOldRemovals();
+    removed_[id] = { listed.incarnation_, listed.revision_, loop_.now() };
     log(LogLevel::Info, "backend-gone", toJson(server->listed()));
     servers_.erase(found);
     removeFromService(server);
     server->close();
 }
 
+void BackendTable::forgetOldRemovals()
+{
+    for (auto entry = removed_.begin(); entry != removed_.end();) {
+        const bool isOld = loop_.now() - entry->second.removedAt_ > removalMemory;
+        entry = isOld ? removed_.erase(entry) : std::next(entry);
+    }
+}
+
 void BackendTable::removeFromService(const ServerPtr &server)
 {
     auto &group = services_[server->listed().service_];
--- a/packages/qz_forward/backends/backendtable.h
+++ b/packages/qz_forward/backends/backendtable.h
@@ -15,7 +15,9 @@
 ///
 /// While the list cannot be read, the last known list stays in use. Entries of running servers
 /// may expire during such an outage. Therefore servers that are missing from the list are kept
-/// for a grace period after the list can be read again.
+/// for a grace period after the list can be read again. A list that was restored from a copy may
+/// show servers as they were before; entries older than those that this instance has seen are then
+/// ignored.
 /// @see ListedBackend
 class BackendTable
 {
@@ -37,6 +39,10 @@
     /// Starts the grace period. To be called when the list can be read again after an outage.
     void startRemovalGrace(Duration grace);
 
+    /// To be called when the list was restored from an older copy. For some time, replaceAll()
+    /// ignores outdated entries, also of servers that were removed.
+    void expectOutdatedEntries();
+
     /// Returns the servers of @p service; empty if none is listed.
     const std::vector<ServerPtr> &serversOf(const ServiceId &service) const;
 
@@ -50,7 +56,18 @@
     void closeStaleConnections();
 
 private:
+    /// Identifies what a server last said of itself, and when it was removed.
+    struct RemovedServer
+    {
+        std::int64_t incarnation_ = 0;
+        std::int64_t revision_ = 0;
+        TimePoint removedAt_{};
+    };
+
+    /// Returns whether a later entry than @p listed was seen, or its server removed since.
+    bool isOutdated(const ListedBackend &listed) const;
     void erase(const BackendServerId &id);
+    void forgetOldRemovals();
     void endGrace();
     void removeFromService(const ServerPtr &server);
 
@@ -59,7 +76,9 @@
     std::map<ServiceId, std::vector<ServerPtr>> services_; ///< The same servers, by service.
     /// Servers to remove at the end of the grace period.
     std::map<BackendServerId, bool> missing_;
+    std::map<BackendServerId, RemovedServer> removed_; ///< Within the last minute.
     TimePoint graceUntil_{};
+    TimePoint outdatedUntil_{}; ///< The list may contain outdated entries until then.
     Timers::HandlePtr graceTimer_;
 };
 
