--- a/packages/qz_replica/exchange/replicaexchange.cpp
+++ b/packages/qz_replica/exchange/replicaexchange.cpp
@@ -158,6 +158,12 @@
     return found == tables_.end() ? 0 : found->second.replica_.version();
 }
 
+std::string ReplicaExchange::value(const std::string &table, const std::string &key) const
+{
+    const auto found = tables_.find(table);
+    return found == tables_.end() ? "" : found->second.replica_.value(key);
+}
+
 TableVersions ReplicaExchange::versions() const
 {
     TableVersions versions;
--- a/packages/qz_replica/exchange/replicaexchange.h
+++ b/packages/qz_replica/exchange/replicaexchange.h
@@ -72,6 +72,8 @@
     /// Returns the version of the replica of @p table, or 0 if nothing has been read yet.
     std::uint64_t version(const std::string &table) const;
     TableVersions versions() const;
+    /// Returns the value of a row of @p table, or an empty one if there is none.
+    std::string value(const std::string &table, const std::string &key) const;
 
     /// Requests the tables of which the instance @p from has a newer version.
     void requestNewerTables(const InstanceId &from, const TableVersions &versions);
--- a/packages/qz_replica/table/tablereplica.cpp
+++ b/packages/qz_replica/table/tablereplica.cpp
@@ -45,6 +45,12 @@
     return update;
 }
 
+std::string TableReplica::value(const std::string &key) const
+{
+    const auto found = rows_.find(key);
+    return found == rows_.end() ? "" : found->second;
+}
+
 std::size_t TableReplica::bytes() const
 {
     std::size_t bytes = 0;
--- a/packages/qz_replica/table/tablereplica.h
+++ b/packages/qz_replica/table/tablereplica.h
@@ -57,6 +57,9 @@
     std::uint64_t version() const { return version_; }
     const std::string &name() const { return table_; }
 
+    /// Returns the value of the row @p key, or an empty one if there is none.
+    std::string value(const std::string &key) const;
+
     /// Returns the number of bytes of all keys and values.
     std::size_t bytes() const;
 
