Apply changes after updates without rows that were missed

Cause: a reader counts the version up with each poll, also without a change, and sends that as an update without rows. Such a small update overtakes a large one that other instances send on. It was rejected as a gap, and so was each later change, since it began at the version that was missed. Besides, an instance that had missed only such an update requested the whole table, of which nothing had changed.

Change: an update begins at the last version with a change, as nothing has changed since.

Evidence: changeIsAppliedAfterAnUpdateWithoutRowsWasMissed (version 7 instead of 11) and tableIsNotRequestedAfterAnUpdateWithoutRowsWasMissed (one request instead of none) failed before and pass now.

--- a/packages/qz_presence/exchange/presencemessages.h
+++ b/packages/qz_presence/exchange/presencemessages.h
@@ -12,7 +12,7 @@
 
 namespace qz {
 
-/// Versions of the tables that an instance has copies of, by table name.
+/// Versions of the last changes in the tables that an instance has copies of, by table name.
 using TableVersions = std::map<std::string, std::uint64_t>;
 
 /// Periodic message that the sender is live, with its current state.
--- a/packages/qz_replica/exchange/replicaexchange.cpp
+++ b/packages/qz_replica/exchange/replicaexchange.cpp
@@ -79,8 +79,14 @@
                       });
 }
 
-void ReplicaExchange::publish(const TableUpdate &update)
+void ReplicaExchange::publish(TableUpdate update)
 {
+    const auto found = tables_.find(update.table_);
+    if (found != tables_.end() && !update.isSnapshot_) {
+        // Instances that missed updates without rows can apply it, too.
+        update.fromVersion_ =
+                std::min(update.fromVersion_, found->second.replica_.changedVersion());
+    }
     if (!apply(update, "store")) {
         return; // The update from another instance arrived first.
     }
@@ -168,7 +174,7 @@
 {
     TableVersions versions;
     for (const auto &[name, table] : tables_) {
-        versions[name] = table.replica_.version();
+        versions[name] = table.replica_.changedVersion();
     }
     return versions;
 }
@@ -294,7 +300,8 @@
         return;
     }
     const auto found = tables_.find(request.value().table_);
-    if (found == tables_.end() || found->second.replica_.version() <= request.value().version_) {
+    if (found == tables_.end()
+        || found->second.replica_.changedVersion() <= request.value().version_) {
         return;
     }
     const TableUpdate snapshot = found->second.replica_.makeSnapshot();
--- a/packages/qz_replica/exchange/replicaexchange.h
+++ b/packages/qz_replica/exchange/replicaexchange.h
@@ -67,10 +67,11 @@
     void start();
 
     /// Applies an update that was read from the store, and distributes it.
-    void publish(const TableUpdate &update);
+    void publish(TableUpdate update);
 
     /// Returns the version of the replica of @p table, or 0 if nothing has been read yet.
     std::uint64_t version(const std::string &table) const;
+    /// Returns the version of the last change of each table.
     TableVersions versions() const;
     /// Returns the value of a row of @p table, or an empty one if there is none.
     std::string value(const std::string &table, const std::string &key) const;
--- a/packages/qz_replica/table/tablereplica.cpp
+++ b/packages/qz_replica/table/tablereplica.cpp
@@ -30,6 +30,9 @@
         }
     }
     version_ = update.version_;
+    if (update.isSnapshot_ || !update.rows_.empty()) {
+        changedVersion_ = update.version_;
+    }
     return true;
 }
 
@@ -38,7 +41,7 @@
     TableUpdate update;
     update.table_ = table_;
     update.isSnapshot_ = true;
-    update.version_ = version_;
+    update.version_ = changedVersion_;
     for (const auto &[key, value] : rows_) {
         update.rows_.push_back({ key, value, false });
     }
--- a/packages/qz_replica/table/tablereplica.h
+++ b/packages/qz_replica/table/tablereplica.h
@@ -38,7 +38,8 @@
 
 /// A copy of one table.
 ///
-/// Invariant: the version never decreases, and the rows are those of the current version.
+/// Invariant: the version never decreases, and the rows are those of the current version. They are
+/// also those of each version since changedVersion().
 /// @see ReplicaExchange
 class TableReplica
 {
@@ -50,11 +51,15 @@
     /// been read yet.
     bool apply(const TableUpdate &update);
 
-    /// Returns a snapshot: an update with all rows, which can be applied to any older replica.
+    /// Returns a snapshot: an update with all rows to changedVersion(). It can be applied to any
+    /// older replica.
     TableUpdate makeSnapshot() const;
 
     /// Returns the current version, or 0 if nothing has been read yet.
     std::uint64_t version() const { return version_; }
+    /// Returns the version of the last update with rows. An update from any later version is also
+    /// one from this version.
+    std::uint64_t changedVersion() const { return changedVersion_; }
     const std::string &name() const { return table_; }
 
     /// Returns the value of the row @p key, or an empty one if there is none.
@@ -66,6 +71,7 @@
 private:
     const std::string table_;
     std::uint64_t version_ = 0;
+    std::uint64_t changedVersion_ = 0;
     std::map<std::string, std::string> rows_; ///< Values by key.
 };
 
--- a/packages/qz_replica/tests/replicatest.cpp
+++ b/packages/qz_replica/tests/replicatest.cpp
@@ -185,6 +185,56 @@
     BOOST_TEST(receivedBytes < narrowLinkBytes);
 }
 
+// Guards against changes that are rejected as gaps, because an update without rows overtook a large
+// one that other instances passed on.
+BOOST_AUTO_TEST_CASE(changeIsAppliedAfterAnUpdateWithoutRowsWasMissed)
+{
+    qz::EventLoop loop;
+    Node a(loop, "a", "d");
+    Node b(loop, "b", "d");
+    addAllInstances({ &a, &b });
+    a.replicas_->publish(makeSnapshot(5, { { "k", "1", false } }));
+    loop.runFor(200ms);
+    std::vector<std::string> messages;
+    b.links_->setHandler(qz::MessageKind::TableUpdate,
+                         [&messages](const auto &, std::string_view payload) {
+                             messages.emplace_back(payload);
+                         });
+    a.replicas_->publish(makeChange(5, 7, { { "k", "2", false } }));
+    a.replicas_->publish(makeChange(7, 9, {}));
+    a.replicas_->publish(makeChange(9, 11, { { "k", "3", false } }));
+    loop.runFor(100ms);
+    BOOST_REQUIRE(messages.size() == 3);
+    b.replicas_->start();
+    for (const int index : { 1, 0, 2 }) {
+        BOOST_REQUIRE(a.links_->send(b.record_.id_, qz::MessageKind::TableUpdate, messages[index])
+                              .has_value());
+    }
+    loop.runFor(100ms);
+    BOOST_TEST(b.replicas_->version("t") == 11);
+}
+
+// Guards against requests for a whole table of which no row has changed.
+BOOST_AUTO_TEST_CASE(tableIsNotRequestedAfterAnUpdateWithoutRowsWasMissed)
+{
+    qz::EventLoop loop;
+    Domain domain(loop, 2);
+    Node &a = *domain.all_[0];
+    Node &b = *domain.all_[1];
+    a.replicas_->publish(makeSnapshot(5, { { "k", "1", false } }));
+    loop.runFor(200ms);
+    int requests = 0;
+    a.links_->setHandler(qz::MessageKind::TableRequest,
+                         [&requests](const auto &, std::string_view) { ++requests; });
+    b.links_->setHandler(qz::MessageKind::TableUpdate, [](const auto &, std::string_view) {});
+    a.replicas_->publish(makeChange(5, 9, {}));
+    loop.runFor(1500ms);
+    BOOST_TEST(requests == 0);
+    a.replicas_->publish(makeChange(9, 11, { { "k", "2", false } }));
+    loop.runFor(1500ms);
+    BOOST_TEST(requests > 0);
+}
+
 BOOST_AUTO_TEST_CASE(instancesWithDifferentListsOfInstancesExchangeThem)
 {
     qz::EventLoop loop;
