Send on a large update also if it is not new here

Cause: an instance sent a large update on only if it was new to it. Two readers that read a change at the same time, while their links were busy with the one before, each left it to the other one to send it on; both had it, and the other instances had to request the table.

Change: an instance sends on what it is told to, whether the update is new to it or not.

Evidence: largeChangeThatTwoReadersHaveReachesTheOthersWithoutARequest failed before (version 0 instead of 7, three requests) and passes now.

--- a/packages/qz_replica/exchange/replicaexchange.cpp
+++ b/packages/qz_replica/exchange/replicaexchange.cpp
@@ -230,11 +230,14 @@
         log(LogLevel::Warning, "table-update-malformed", { { "from", from.value() } });
         return;
     }
-    if (!apply(update.value(), from.value())) {
-        return; // Whoever sent it first has sent it to the others, too.
+    const bool isNew = apply(update.value(), from.value());
+    const bool isFromDomain = directory_.isInSameDomain(from);
+    if (!isNew && !isFromDomain) {
+        return;
     }
     std::vector<InstanceRecord> receivers = directory_.relays(loop_.now());
-    if (directory_.isInSameDomain(from)) {
+    if (isFromDomain) {
+        // Also if the update is not new here: its sender relies on this instance.
         const std::vector<InstanceId> &relayTo = update.value().relayTo_;
         const auto isOther = [&relayTo](const InstanceRecord &record) {
             return std::find(relayTo.begin(), relayTo.end(), record.id_) == relayTo.end();
--- a/packages/qz_replica/tests/replicatest.cpp
+++ b/packages/qz_replica/tests/replicatest.cpp
@@ -185,6 +185,29 @@
     BOOST_TEST(receivedBytes < narrowLinkBytes);
 }
 
+// Guards against a large change that two readers leave to each other to send on.
+BOOST_AUTO_TEST_CASE(largeChangeThatTwoReadersHaveReachesTheOthersWithoutARequest)
+{
+    qz::EventLoop loop;
+    Domain domain(loop, 4);
+    const auto publishAtBothReaders = [&domain](const qz::TableUpdate &update) {
+        domain.all_[0]->replicas_->publish(update);
+        domain.all_[1]->replicas_->publish(update);
+    };
+    int requests = 0;
+    for (Node *node : domain.all_) {
+        node->links_->setHandler(qz::MessageKind::TableRequest,
+                                 [&requests](const auto &, std::string_view) { ++requests; });
+    }
+    publishAtBothReaders(makeSnapshot(5, { largeRow }));
+    publishAtBothReaders(makeChange(5, 7, { largeRow }));
+    loop.runFor(2s);
+    for (const Node *node : domain.all_) {
+        BOOST_TEST(node->replicas_->version("t") == 7);
+    }
+    BOOST_TEST(requests == 0);
+}
+
 // Guards against changes that are rejected as gaps, because an update without rows overtook a large
 // one that other instances passed on.
 BOOST_AUTO_TEST_CASE(changeIsAppliedAfterAnUpdateWithoutRowsWasMissed)
