--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -18,7 +18,8 @@
 from urllib.parse import parse_qs, urlsplit
 
 REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-PROGRAM = os.path.join(REPOSITORY, "target/apps/quetzaldaled/quetzaldaled")
+PROGRAM = os.environ.get("QUETZALDALED",
+                         os.path.join(REPOSITORY, "target/apps/quetzaldaled/quetzaldaled"))
 HOST = "shop.example"
 ATTEMPT = "X-Quetzaldale-Attempt-Id"
 DEADLINE = "X-Quetzaldale-Deadline-Ms"
