--- a/review/5/case.py
+++ b/review/5/case.py
@@ -2,7 +2,7 @@
 import os
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from fleet import *
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
--- a/review/common/fleet.py
+++ b/review/fleet.py
@@ -18,7 +18,7 @@
 import traceback
 from urllib.parse import parse_qs, urlsplit
 
-REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+REPOSITORY = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = os.environ.get("QUETZALDALED",
                          os.path.join(REPOSITORY, "target/apps/quetzaldaled/quetzaldaled"))
 HOST = "shop.example"
