--- a/review/4/case.py
+++ b/review/4/case.py
@@ -56,7 +56,7 @@
     for number in range(8):
         fleet.backend("b%d" % number, "patterns", look_up)
     fleet.configure([route("pattern", "/pattern/", "safe", "patterns", 6, 4)], ["patterns"])
-    fleet.start(2)
+    fleet.start(1)
     time.sleep(STABILITY_S + 0.5)
     addresses = Addresses(fleet)
     calls = []
@@ -86,7 +86,7 @@
     if TROUBLE:
         for instance in fleet.instances:
             instance.process.send_signal(signal.SIGTERM)
-        fleet.record.add("SIGTERM to both instances")
+        fleet.record.add("SIGTERM to the instance")
     for number in range(24):
         at = 2.4 + number * 0.05
         time.sleep(max(0, stopped + at - now()))
