--- a/review/standins2.py
+++ b/review/standins2.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -54,18 +55,20 @@
 
 
 async def read_head(reader):
-    """Returns the start line and the fields of a message, or None at the end of the stream."""
+    """Returns the start line, the fields and their names as sent, or None at the stream's end."""
     try:
         raw = await reader.readuntil(b"\r\n\r\n")
     except (asyncio.IncompleteReadError, ConnectionError):
         return None
     lines = raw.decode("latin-1").split("\r\n")
-    fields = {}
+    fields, names = {}, []
     for line in lines[1:]:
         if ":" in line:
             name, value = line.split(":", 1)
-            fields[name.strip().lower()] = value.strip()
-    return lines[0], fields
+            names.append(name)
+            # A name with a blank is another name: nothing is taken from such a field.
+            fields[name.lower()] = value.strip()
+    return lines[0], fields, names
 
 
 async def read_body(reader, fields, until_close=False):
@@ -89,6 +92,9 @@
 
 def abort(writer):
     """Resets a connection."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
 
@@ -113,22 +119,22 @@
         for name in ([door] if door else list(self.modes)):
             self.modes[name] = mode
 
-    async def put(self, table, key, value):
-        self._write(table, key, value)
+    async def put(self, table, key, value, part=""):
+        self._write(table, part, key, value)
         async with self.changed:
             self.changed.notify_all()
 
-    def _write(self, table, key, value):
+    def _write(self, table, part, key, value):
         self.version += 1
         if value is None:
-            self.rows.pop((table, key), None)
+            self.rows.pop((table, part, key), None)
         else:
-            self.rows[table, key] = (value, self.version)
-        self.log.append((self.version, table, key, value))
+            self.rows[table, part, key] = (value, self.version)
+        self.log.append((self.version, table, part, key, value))
 
     @staticmethod
-    def _row(table, key, value, version):
-        row = {"Table": table, "part": "", "Key": key, "Ver": version}
+    def _row(table, part, key, value, version):
+        row = {"Table": table, "part": part, "Key": key, "Ver": version}
         if value is None:
             row["Deleted"] = True
         else:
@@ -145,7 +151,8 @@
         while True:
             if after < self.oldest:
                 return 410, {}
-            rows = [self._row(t, k, v, n) for n, t, k, v in self.log if n > after and t == table]
+            rows = [self._row(t, p, k, v, n) for n, t, p, k, v in self.log
+                    if n > after and t == table]
             left = end - time.monotonic()
             if rows or left <= 0:
                 return 200, self._answer(Rows=rows)
@@ -161,23 +168,25 @@
         if parts.path == "/v1/rows-get":
             first = query.get("From", "")
             limit = min(500, int(query.get("Limit", 500)))
-            found = sorted((k, v) for (t, k), v in self.rows.items()
-                           if t == query["Table"] and k >= first)
-            rows = [self._row(query["Table"], k, v, n) for k, (v, n) in found[:limit]]
+            table, part = query["Table"], query.get("part", "")
+            found = sorted((k, v) for (t, p, k), v in self.rows.items()
+                           if t == table and p == part and k >= first)
+            rows = [self._row(table, part, k, v, n) for k, (v, n) in found[:limit]]
             return 200, self._answer(Rows=rows, HasMore=len(found) > limit)
         if parts.path == "/v1/rows-feed":
             return await self._feed(query)
         if parts.path == "/v1/rows-tx":
             entry = json.loads(body)
             for row in entry.get("Expected", []):
-                if self.rows.get((row["Table"], row["Key"]), ("", 0))[1] != row["Ver"]:
+                place = (row["Table"], row.get("part", ""), row["Key"])
+                if self.rows.get(place, ("", 0))[1] != row["Ver"]:
                     return 412, self._answer(Rows=[])
             for row in entry.get("Puts", []):
                 if row["Table"] in ("op", "servers"):
                     return 403, {}
                 # Values are bytes; here a character stands for a byte.
                 value = base64.b64decode(row["Value"]).decode("latin-1")
-                self._write(row["Table"], row["Key"], value)
+                self._write(row["Table"], row.get("part", ""), row["Key"], value)
             async with self.changed:
                 self.changed.notify_all()
             return 200, self._answer()
@@ -214,8 +223,9 @@
 
 
 class Request:
-    def __init__(self, line, fields, body, at):
+    def __init__(self, line, fields, body, at, raw_names=()):
         self.method, self.target, _ = line.split(" ", 2)
+        self.raw_names = raw_names
         self.fields, self.body, self.at = fields, body, at
         self.id = fields.get(ID, "")
 
@@ -231,7 +241,9 @@
         self.is_leaving, self.arrivals, self.runs = False, [], []
         self.done = []  # Ids of requests that ran to their end.
         self.hook = None  # async (server, request, writer) -> True if it has answered itself
-        self.extra = None  # (server, request) -> further fields of an answer
+        # (server, request, answer, previous answer on the connection) -> bytes sent ahead of it
+        self.garble = None
+        self.last = {}  # The previous answer on each connection.
         self.writers, self.free = set(), asyncio.Condition()
 
     @property
@@ -252,25 +264,27 @@
         """Ends as a process does: nothing is answered any more."""
         self.listener.close()
         for writer in list(self.writers):
-            abort(writer)
+            writer.transport.abort()
 
     def seal(self, request_id):
         return "seal.%s.%s" % (self.name, request_id)
 
+    def status_for(self, _request):
+        return 200
+
     def body_for(self, request):
         return ("%s ran %s %s %d" % (self.name, request.method, request.target,
                                      len(request.body))).encode()
 
     def fields(self, request):
         fields = [("X-Quetzaldale-Attempt-Id", request.id)] if request.id else []
-        fields += self.extra(self, request) if self.extra else []
         if self.is_leaving:
             fields += [("Server-Leaving", "1"), ("Connection", "close")]
         return fields
 
     def refuse(self, request, status, more=()):
         return message("HTTP/1.1 %d X" % status,
-                       self.fields(request) + [(NOT_RUN, "1")] + list(more), b"not run\n")
+                       [(NOT_RUN, "1")] + self.fields(request) + list(more), b"not run\n")
 
     def answer(self, request, status=200, body=None):
         body = self.body_for(request) if body is None else body
@@ -285,26 +299,28 @@
                 if head is None:
                     return
                 body = await read_body(reader, head[1])
-                request = Request(head[0], head[1], body, self.record.now())
+                request = Request(head[0], head[1], body, self.record.now(), head[2])
                 if not await self._handle(request, reader, writer):
                     return
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
             self.writers.discard(writer)
+            self.last.pop(writer, None)
             writer.close()
 
     async def _handle(self, request, reader, writer):
         """Answers a request; False if the connection ends with it."""
         if request.fields.get(EXPECT, self.name) != self.name:
-            writer.write(self.refuse(request, 421))
+            self.write(writer, request, self.refuse(request, 421))
             return True
         self.arrivals.append(request)
         self.record("%s gets %s" % (self.name, request.id))
         if self.hook and await self.hook(self, request, writer):
             return not writer.transport.is_closing()
         if self.waiting >= self.queue:
-            writer.write(self.refuse(request, 503))
+            self.record("%s refuses %s: full" % (self.name, request.id))
+            self.write(writer, request, self.refuse(request, 503))
             return True
         gone = asyncio.ensure_future(reader.read(1))
         work = asyncio.ensure_future(self._work(request))
@@ -317,10 +333,16 @@
             work.cancel()
             gone.cancel()
             await asyncio.wait({gone})
-        writer.write(self.answer(request))
+        self.write(writer, request, self.answer(request, self.status_for(request)))
         await writer.drain()
         return not self.is_leaving
 
+    def write(self, writer, request, answer):
+        if self.garble:
+            writer.write(self.garble(self, request, answer, self.last.get(writer, b"")))
+        self.last[writer] = answer
+        writer.write(answer)
+
     async def _work(self, request):
         self.waiting += 1
         try:
@@ -488,8 +510,8 @@
         self.version = 0
         self.routes, self.services = [], []
 
-    async def publish(self):
-        """Writes a new version of the configuration."""
+    async def publish(self, part=""):
+        """Writes a new version of the configuration; with `part`, a draft that is not in force."""
         self.version += 3
         columns = ["Name", "Host", "Prefix", "Kind", "TimeoutS", "TargetLatencyS", "MaxAttempts",
                    "Priority", "Service", "TrafficSplit"]
@@ -501,8 +523,8 @@
                          "Rows": [[name, "/health", 330] for name in self.services]},
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1048576, "HeaderTimeoutS": 5.0,
                        "IdleTimeoutS": 20.0}}
-        await self.store.put("op", "config", json.dumps(config))
-        self.record("operator publishes version %d" % self.version)
+        await self.store.put("op", "config", json.dumps(config), part)
+        self.record("operator writes version %d to part %r" % (self.version, part))
 
     def add_route(self, name, service, kind="safe", timeout_s=4.0, target_s=1.0, attempts=3):
         if service not in self.services:
