review: show that uploads are broken off while their server works

A server that is at work and reads a long body late is taken for silent after 2 s; around a planned stop that breaks the rule.

--- a/review/standins2.py
+++ b/review/standins2.py
@@ -244,6 +244,8 @@
         # (server, request, answer, previous answer on the connection) -> bytes sent ahead of it
         self.garble = None
         self.last = {}  # The previous answer on each connection.
+        self.window = 0  # Bytes of the receive buffer; zero: the system's.
+        self.reads_late_s = 0.0  # Above zero: the time of work before a body is read.
         self.writers, self.free = set(), asyncio.Condition()
 
     @property
@@ -258,7 +260,12 @@
             "Status": {"State": self.state, "Sequence": self.sequence, "ColdRemainingS": 0}})
 
     async def start(self):
-        self.listener = await asyncio.start_server(self._serve, self.host, self.port)
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.window:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.window)
+        sock.bind((self.host, self.port))
+        self.listener = await asyncio.start_server(self._serve, sock=sock, limit=16384)
 
     def stop(self):
         """Ends as a process does: nothing is answered any more."""
@@ -298,6 +305,10 @@
                 head = await read_head(reader)
                 if head is None:
                     return
+                if self.reads_late_s:
+                    if not await self._read_late(head, reader, writer):
+                        return
+                    continue
                 body = await read_body(reader, head[1])
                 request = Request(head[0], head[1], body, self.record.now(), head[2])
                 if not await self._handle(request, reader, writer):
@@ -343,6 +354,27 @@
         self.last[writer] = answer
         writer.write(answer)
 
+    async def _read_late(self, head, reader, writer):
+        """Works on a request for a while, and only then reads its body and answers."""
+        request = Request(head[0], head[1], b"", self.record.now(), head[2])
+        if request.fields.get(EXPECT, self.name) != self.name:
+            self.write(writer, request, self.refuse(request, 421))
+            return False
+        self.arrivals.append(request)
+        self.runs.append(request)
+        self.record("%s begins to work on %s" % (self.name, request.id))
+        await asyncio.sleep(self.reads_late_s)
+        try:
+            request.body = await read_body(reader, head[1])
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.record("%s finds %s broken off" % (self.name, request.id))
+            return False
+        self.done.append(request.id)
+        self.record("%s has run %s, %d bytes" % (self.name, request.id, len(request.body)))
+        self.write(writer, request, self.answer(request, self.status_for(request)))
+        await writer.drain()
+        return True
+
     async def _work(self, request):
         self.waiting += 1
         try:
@@ -533,8 +565,9 @@
                             "Kind": kind, "TimeoutS": timeout_s, "TargetLatencyS": target_s,
                             "MaxAttempts": attempts, "Priority": 1, "Service": service})
 
-    async def add_server(self, name, service, zone=None, **options):
+    async def add_server(self, name, service, zone=None, window=0, **options):
         server = Server(self.record, name, service, zone or next(iter(self.zones)), **options)
+        server.window = window
         await server.start()
         self.servers.append(server)
         await self.store.put("servers", name, server.entry())
