Read the fields that decide a body's length once, with Boost.Beast

Cause: HttpStreamParser compared the trimmed value without regard to case, libevhtp's parser the value as sent, of which it knows two spellings. The parser ended such a message with its head, and nothing compared the two.

Ruled out: that the body is read and lost on the way. The log could not tell, so it says body_framing and body_bytes now; added to the code before, an order of the case shows "chunked" and 0.

Change: the parser is Boost.Beast's, which reads names, lines, lengths and chunks strictly. The framing is decided by one check for both directions, and a head is refused where the parser's own reading differs. HttpServer, which runs on libevhtp as a whole, refuses spellings that libevhtp does not know.

--- a/packages/qz_forward/requests/forwardedrequest.cpp
+++ b/packages/qz_forward/requests/forwardedrequest.cpp
@@ -662,6 +662,8 @@
               { "priority", route.priority_ },
               { "target_ms", toMilliseconds(route.target_) },
               { "timeout_ms", toMilliseconds(deadline_ - exchange_->arrivedAt()) },
+              { "body_framing", toString(exchange_->head().framing_) },
+              { "body_bytes", receivedBytes_ },
               { "service", service_.value() },
               { "config_version", routes_ == nullptr ? 0 : routes_->version() },
               { "servers_listed", candidateServers_.size() },
--- a/packages/qz_forward/tests/forwardertest.cpp
+++ b/packages/qz_forward/tests/forwardertest.cpp
@@ -175,6 +175,31 @@
     BOOST_TEST(contains(response, "\r\n\r\nok"));
 }
 
+// Guards against orders and answers that arrive with an empty body because the name of their
+// coding is spelled in another way.
+BOOST_AUTO_TEST_CASE(bodiesInChunksArriveWholeInAnySpelling)
+{
+    for (const std::string coding : { "chunked", "CHUNKED", "chunked ", "\tchunked" }) {
+        Fixture fixture;
+        fixture.setRoute(false);
+        const std::string field = "Transfer-Encoding:" + coding;
+        std::string answer = responseHead;
+        answer.append(field).append("\r\n\r\n6\r\nanswer\r\n0\r\n\r\n");
+        const RawServer &server = fixture.addServer("a", respondWith(answer));
+        std::string request = "POST / HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n";
+        request.append(field).append("\r\n\r\n5\r\norder\r\n0\r\n\r\n");
+        RawClient client(fixture.loop_, fixture.endpoint_);
+        client.send(request);
+        fixture.loop_.runFor(200ms);
+        BOOST_TEST_INFO(field);
+        BOOST_TEST(contains(server.received(), "Content-Length: 5\r\n\r\norder"));
+        BOOST_TEST(!contains(server.received(), "Transfer-Encoding"));
+        BOOST_TEST(statusOf(client.received()) == 200);
+        BOOST_TEST(contains(client.received(), "Content-Length: 6\r\n"));
+        BOOST_TEST(contains(client.received(), "\r\n\r\nanswer"));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(requestWithoutConfigurationIsRejected)
 {
     Fixture fixture;
--- a/packages/qz_http/server/httpexchange.cpp
+++ b/packages/qz_http/server/httpexchange.cpp
@@ -30,6 +30,14 @@
     return 0;
 }
 
+/// Returns whether libevhtp takes the body of a request for chunks. It compares the name of the
+/// coding as it was sent, and takes any other spelling for a request without a body.
+bool isCodingReadByParser(const HttpHeaders &headers)
+{
+    const auto coding = headers.find("Transfer-Encoding");
+    return !coding || *coding == "chunked" || *coding == "Chunked";
+}
+
 void addReplyHeader(evhtp_request_t *request, const std::string &name, const std::string &value)
 {
     evhtp_header_t *header = evhtp_header_new(name.c_str(), value.c_str(), 1, 1);
@@ -58,6 +66,8 @@
     const auto framing = checkRequestFraming(request_.headers_);
     if (framing.has_error()) {
         setProblem(framing.error());
+    } else if (!isCodingReadByParser(request_.headers_)) {
+        setProblem(failure(ErrorKind::BadRequest, "the coding is not spelled \"chunked\""));
     }
 }
 
--- a/packages/qz_http/server/requestcheck.cpp
+++ b/packages/qz_http/server/requestcheck.cpp
@@ -1,4 +1,4 @@
-// Checks against requests whose length is ambiguous.
+// Checks against messages whose length is ambiguous.
 #include "qz_http/server/requestcheck.h"
 
 #include <algorithm>
@@ -15,7 +15,7 @@
 
 } // namespace
 
-Result<void> checkRequestFraming(const HttpHeaders &headers)
+Result<void> checkFraming(const HttpHeaders &headers)
 {
     const std::size_t lengths = headers.count("Content-Length");
     const auto coding = headers.find("Transfer-Encoding");
@@ -32,6 +32,12 @@
         || (coding && !equalsIgnoringCase(*coding, "chunked"))) {
         return failure(ErrorKind::BadRequest, "the only transfer coding taken is chunked");
     }
+    return success();
+}
+
+Result<void> checkRequestFraming(const HttpHeaders &headers)
+{
+    BOOST_OUTCOME_TRY(checkFraming(headers));
     if (headers.count("Host") != 1) {
         return failure(ErrorKind::BadRequest, "exactly one Host is needed");
     }
--- a/packages/qz_http/stream/httphead.cpp
+++ b/packages/qz_http/stream/httphead.cpp
@@ -61,6 +61,21 @@
 
 } // namespace
 
+std::string_view toString(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::None:
+        return "none";
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunked:
+        return "chunked";
+    case BodyFraming::UntilClose:
+        break;
+    }
+    return "until-close";
+}
+
 std::string formatRequestHead(const HttpHead &head)
 {
     std::string text;
--- a/packages/qz_http/stream/httphead.h
+++ b/packages/qz_http/stream/httphead.h
@@ -17,6 +17,9 @@
     UntilClose, ///< By the end of the connection; answers only.
 };
 
+/// The name of @p framing, for logs.
+std::string_view toString(BodyFraming framing);
+
 /// The start line and the header fields of a request or an answer.
 /// @see HttpStreamParser
 struct HttpHead
--- a/packages/qz_http/stream/httpstreamparser.cpp
+++ b/packages/qz_http/stream/httpstreamparser.cpp
@@ -1,133 +1,163 @@
-// The hooks of libevhtp's parser, and the checks that it leaves out.
+// The callbacks of Boost.Beast's parser, and the checks that it leaves out.
 #include "qz_http/stream/httpstreamparser.h"
 
 #include "qz_http/server/requestcheck.h"
 
-#include <evhtp/parser.h>
+#include <boost/beast/http/basic_parser.hpp>
 
-#include <cstdlib>
+#include <algorithm>
+#include <limits>
 #include <utility>
+#include <variant>
 
 namespace qz {
 
 namespace {
 
-constexpr int goOn = 0;
-constexpr int stopParsing = -1;
+namespace http = boost::beast::http;
 
 constexpr int firstFinalStatus = 200;
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
+constexpr int versionHttp11 = 11;
 
 /// Interim answers (1xx) to one request; more come only from a server that never ends them.
 constexpr int maxInterimAnswers = 8;
 
+/// The size of the shortest end of a chunked body. Boost.Beast 1.74 asserts that it gets at least
+/// that much when it resumes at a chunk's head.
+constexpr std::size_t minChunkedEndBytes = 5;
+
+constexpr std::string_view lineEnd = "\r\n";
 constexpr std::string_view headEnd = "\r\n\r\n";
 constexpr std::string_view answerStart = "HTTP/1.";
 
-std::string trimmed(std::string_view text)
+std::string_view toStd(boost::beast::string_view text)
 {
-    constexpr std::string_view blanks = " \t";
-    const std::size_t first = text.find_first_not_of(blanks);
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return std::string(text.substr(first, text.find_last_not_of(blanks) - first + 1));
+    return { text.data(), text.size() };
 }
 
-} // namespace
-
-struct HttpStreamParser::Native
+/// Takes the head into an HttpHead and gives the body to a sink.
+template<bool isRequest>
+class MessageParser : public http::basic_parser<isRequest>
 {
-    Native()
-        : parser_(htparser_new())
+public:
+    MessageParser(HttpHead &head, HttpMessageSink &sink, bool isHeadAnswer)
+        : head_(head)
+        , sink_(sink)
     {
+        // The owner bounds heads and bodies.
+        this->header_limit(std::numeric_limits<std::uint32_t>::max());
+        this->body_limit(std::numeric_limits<std::uint64_t>::max());
+        this->eager(true);
+        this->skip(isHeadAnswer);
     }
-    ~Native() { std::free(parser_); }
-    Native(const Native &) = delete;
-    Native &operator=(const Native &) = delete;
 
-    htparser *parser_;
-};
+    /// Returns whether the next byte belongs to a chunk's head or to the trailer.
+    bool isAtChunkHead() const { return this->chunked() && chunkLeft_ == 0; }
 
-/// Hooks in the order in which they run for a message.
-struct HttpStreamParser::Hooks
-{
-    static HttpStreamParser &self(htparser *parser)
+private:
+    using ErrorCode = boost::beast::error_code;
+    using Text = boost::beast::string_view;
+
+    void on_request_impl(http::verb /*method*/, Text method, Text target, int version,
+                         ErrorCode & /*error*/) override
     {
-        return *static_cast<HttpStreamParser *>(htparser_get_userdata(parser));
+        head_.method_ = toStd(method);
+        head_.target_ = toStd(target);
+        head_.isHttp11_ = version >= versionHttp11;
     }
 
-    static int onMethod(htparser *parser, const char *data, std::size_t size)
+    void on_response_impl(int status, Text /*reason*/, int version, ErrorCode & /*error*/) override
     {
-        self(parser).head_.method_.assign(data, size);
-        return goOn;
+        head_.status_ = status;
+        head_.isHttp11_ = version >= versionHttp11;
     }
 
-    static int onPath(htparser *parser, const char *data, std::size_t size)
+    void on_field_impl(http::field /*field*/, Text name, Text value, ErrorCode & /*error*/) override
     {
-        self(parser).head_.target_.assign(data, size);
-        return goOn;
+        if (!isHeadDone_) {
+            head_.headers_.add(std::string(toStd(name)), std::string(toStd(value)));
+        }
     }
 
-    static int onQuery(htparser *parser, const char *data, std::size_t size)
+    void on_header_impl(ErrorCode & /*error*/) override { isHeadDone_ = true; }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
+                           ErrorCode & /*error*/) override
     {
-        self(parser).head_.target_.append("?").append(data, size);
-        return goOn;
     }
 
-    static int onKey(htparser *parser, const char *data, std::size_t size)
+    std::size_t on_body_impl(Text data, ErrorCode & /*error*/) override
     {
-        self(parser).key_.assign(data, size);
-        return goOn;
+        sink_.takeBody(toStd(data));
+        return data.size();
     }
 
-    static int onValue(htparser *parser, const char *data, std::size_t size)
+    void on_chunk_header_impl(std::uint64_t size, Text /*extensions*/,
+                              ErrorCode & /*error*/) override
     {
-        auto &owner = self(parser);
-        owner.head_.headers_.add(std::move(owner.key_), trimmed({ data, size }));
-        owner.key_.clear();
-        return goOn;
+        chunkLeft_ = size;
     }
 
-    static int onHeadEnd(htparser *parser)
+    std::size_t on_chunk_body_impl(std::uint64_t /*left*/, Text data,
+                                   ErrorCode & /*error*/) override
     {
-        auto &owner = self(parser);
-        owner.finishHead();
-        // A body that the parser does not know of is read by the owner.
-        const bool isOwnFraming =
-                owner.head_.framing_ == BodyFraming::UntilClose || owner.hasNoBody_;
-        return owner.problem_ || isOwnFraming || owner.isInterim_ ? stopParsing : goOn;
+        chunkLeft_ -= data.size();
+        sink_.takeBody(toStd(data));
+        return data.size();
     }
 
-    static int onBody(htparser *parser, const char *data, std::size_t size)
-    {
-        auto &owner = self(parser);
-        if (size > 0) {
-            owner.sink_.takeBody({ data, size });
-        }
-        return goOn;
+    void on_finish_impl(ErrorCode & /*error*/) override { }
+
+    HttpHead &head_;
+    HttpMessageSink &sink_;
+    std::uint64_t chunkLeft_ = 0; ///< Bytes of the current chunk that have not come yet.
+    bool isHeadDone_ = false;
+};
+
+using RequestParser = MessageParser<true>;
+using AnswerParser = MessageParser<false>;
+
+/// Takes the scheme and the authority off a target in absolute form.
+void takeOriginForm(HttpHead &head)
+{
+    constexpr std::string_view scheme = "http://";
+    if (!equalsIgnoringCase(std::string_view(head.target_).substr(0, scheme.size()), scheme)) {
+        return;
     }
+    const std::string rest = head.target_.substr(scheme.size());
+    const std::size_t authoritySize = std::min(rest.find_first_of("/?"), rest.size());
+    head.headers_.set("Host", rest.substr(0, authoritySize));
+    head.target_ = rest.substr(authoritySize);
+    if (head.target_.empty() || head.target_.front() != '/') {
+        head.target_.insert(0, "/");
+    }
+}
 
-    static int onEnd(htparser *parser)
+} // namespace
+
+struct HttpStreamParser::Native
+{
+    std::variant<std::monostate, RequestParser, AnswerParser> parser_;
+
+    /// Calls @p visitor with the parser of the current message.
+    template<typename Visitor>
+    auto visit(Visitor visitor)
     {
-        auto &owner = self(parser);
-        owner.hasEnded_ = true;
-        return stopParsing;
+        auto *const request = std::get_if<RequestParser>(&parser_);
+        return request != nullptr ? visitor(*request) : visitor(std::get<AnswerParser>(parser_));
     }
 
-    static htparse_hooks make()
+    /// Gives @p data to the parser. Returns the number of bytes consumed.
+    std::size_t put(std::string_view data, boost::beast::error_code &error)
     {
-        htparse_hooks hooks{};
-        hooks.method = &Hooks::onMethod;
-        hooks.path = &Hooks::onPath;
-        hooks.args = &Hooks::onQuery;
-        hooks.hdr_key = &Hooks::onKey;
-        hooks.hdr_val = &Hooks::onValue;
-        hooks.on_hdrs_complete = &Hooks::onHeadEnd;
-        hooks.body = &Hooks::onBody;
-        hooks.on_msg_complete = &Hooks::onEnd;
-        return hooks;
+        const boost::asio::const_buffer buffer(data.data(), data.size());
+        const std::size_t consumed = visit([&](auto &parser) { return parser.put(buffer, error); });
+        if (error == http::error::need_more) {
+            error = {};
+        }
+        return consumed;
     }
 };
 
@@ -144,18 +174,18 @@
 
 void HttpStreamParser::reset(bool isHeadAnswer)
 {
-    htparser_init(native_->parser_,
-                  role_ == HttpRole::Request ? htp_type_request : htp_type_response);
-    htparser_set_userdata(native_->parser_, this);
     head_ = HttpHead();
+    if (role_ == HttpRole::Request) {
+        native_->parser_.emplace<RequestParser>(head_, sink_, false);
+    } else {
+        native_->parser_.emplace<AnswerParser>(head_, sink_, isHeadAnswer);
+    }
     hasBegun_ = false;
     hasHead_ = false;
     hasEnded_ = false;
+    hasSkippedLine_ = false;
     isHeadRequest_ = isHeadAnswer;
-    hasNoBody_ = false;
-    isInterim_ = false;
     interimCount_ = 0;
-    problem_.reset();
 }
 
 Result<std::size_t> HttpStreamParser::parse(std::string_view data)
@@ -174,23 +204,25 @@
 
 Result<std::size_t> HttpStreamParser::parseHead(std::string_view data)
 {
+    const bool isEmptyLine = data.substr(0, lineEnd.size()) == lineEnd;
+    if (role_ == HttpRole::Request && isEmptyLine && !hasSkippedLine_) {
+        hasSkippedLine_ = true; // RFC 9112, 2.2: one is to be ignored.
+        return lineEnd.size();
+    }
     BOOST_OUTCOME_TRY(isWhole, checkHeadBytes(data));
     if (!isWhole) {
         return std::size_t(0);
     }
-    // The parser gets the head alone, so that it is clear where the body begins.
+    // The parser gets the head alone, so that it is checked before any of the body is taken.
     const std::size_t headSize = data.find(headEnd) + headEnd.size();
-    BOOST_OUTCOME_TRY(runParser(data.substr(0, headSize)));
-    if (!hasHead_) {
-        const int interimCount = interimCount_ + 1;
-        if (interimCount > maxInterimAnswers) {
-            return failure(ErrorKind::BadRequest, "too many interim answers");
-        }
-        reset(isHeadRequest_);
-        interimCount_ = interimCount;
-    } else if (hasEnded_) {
-        sink_.takeEnd();
+    boost::beast::error_code error;
+    const std::size_t consumed = native_->put(data.substr(0, headSize), error);
+    if (error) {
+        const auto line = std::count(data.begin(), data.begin() + consumed, '\n') + 1;
+        return failure(ErrorKind::BadRequest,
+                       "line " + std::to_string(line) + " of the head: " + error.message());
     }
+    BOOST_OUTCOME_TRY(finishHead());
     return headSize;
 }
 
@@ -200,23 +232,21 @@
         sink_.takeBody(data);
         return data.size();
     }
-    BOOST_OUTCOME_TRY(consumed, runParser(data));
-    if (hasEnded_) {
-        sink_.takeEnd();
+    const bool isAtChunkHead = native_->visit([](auto &parser) { return parser.isAtChunkHead(); });
+    if (isAtChunkHead && data.size() < minChunkedEndBytes) {
+        return std::size_t(0);
     }
-    return consumed;
-}
-
-Result<std::size_t> HttpStreamParser::runParser(std::string_view data)
-{
-    static htparse_hooks hooks = Hooks::make();
-    const std::size_t consumed = htparser_run(native_->parser_, &hooks, data.data(), data.size());
-    if (problem_) {
-        return *problem_;
+    boost::beast::error_code error;
+    const std::size_t consumed = native_->put(data, error);
+    if (error) {
+        return failure(ErrorKind::BadRequest, "the body: " + error.message());
     }
-    const htpparse_error error = htparser_get_error(native_->parser_);
-    if (error != htparse_error_none && error != htparse_error_user) {
-        return failure(ErrorKind::BadRequest, htparser_get_strerror(native_->parser_));
+    if (consumed == 0 && data.size() > headLimitBytes_) {
+        return failure(ErrorKind::RequestTooLarge, "a chunk's head or the trailer is too large");
+    }
+    hasEnded_ = native_->visit([](auto &parser) { return parser.is_done(); });
+    if (hasEnded_) {
+        sink_.takeEnd();
     }
     return consumed;
 }
@@ -228,7 +258,6 @@
     if (role_ == HttpRole::Response && start != answerStart.substr(0, start.size())) {
         return failure(ErrorKind::BadRequest, "the bytes are no HTTP answer");
     }
-    // The parser garbles a request line that comes in pieces, so it only gets whole heads.
     const std::size_t end = data.find(headEnd);
     const bool isWhole = end != std::string_view::npos;
     if ((isWhole ? end : data.size()) > headLimitBytes_) {
@@ -247,63 +276,58 @@
     return true;
 }
 
-void HttpStreamParser::finishHead()
+Result<void> HttpStreamParser::finishHead()
 {
-    htparser *parser = native_->parser_;
-    head_.isKeptAlive_ = htparser_should_keep_alive(parser) != 0;
-    head_.isHttp11_ = htparser_get_minor(parser) > 0;
-    if (role_ == HttpRole::Response) {
-        head_.status_ = static_cast<int>(htparser_get_status(parser));
-        isInterim_ = head_.status_ < firstFinalStatus;
-    }
-    const auto checked = role_ == HttpRole::Request ? checkHead() : checkAnswerHead();
-    if (checked.has_error()) {
-        problem_ = checked.error();
-        return;
+    if (role_ == HttpRole::Request) {
+        takeOriginForm(head_);
     }
-    if (isInterim_) {
-        return;
+    BOOST_OUTCOME_TRY(decideFraming());
+    if (role_ == HttpRole::Response && head_.status_ < firstFinalStatus) {
+        const int interimCount = interimCount_ + 1;
+        if (interimCount > maxInterimAnswers) {
+            return failure(ErrorKind::BadRequest, "too many interim answers");
+        }
+        reset(isHeadRequest_);
+        interimCount_ = interimCount;
+        return success();
     }
     hasHead_ = true;
-    if (hasNoBody_) {
-        hasEnded_ = true;
-    }
+    hasEnded_ = native_->visit([](auto &parser) { return parser.is_done(); });
     sink_.takeHead(head_);
-}
-
-Result<void> HttpStreamParser::checkHead()
-{
-    BOOST_OUTCOME_TRY(checkRequestFraming(head_.headers_));
-    if (head_.headers_.find("Transfer-Encoding")) {
-        head_.framing_ = BodyFraming::Chunked;
-    } else if (const auto length = head_.headers_.find("Content-Length")) {
-        head_.framing_ = BodyFraming::Length;
-        head_.length_ = htparser_get_content_length(native_->parser_);
+    if (hasEnded_) {
+        sink_.takeEnd();
     }
     return success();
 }
 
-Result<void> HttpStreamParser::checkAnswerHead()
+Result<void> HttpStreamParser::decideFraming()
 {
-    const HttpHeaders &headers = head_.headers_;
-    const auto coding = headers.find("Transfer-Encoding");
-    const std::size_t lengths = headers.count("Content-Length");
-    if (lengths > 1 || (lengths == 1 && coding)
-        || (coding && !equalsIgnoringCase(*coding, "chunked"))) {
-        return failure(ErrorKind::BadRequest, "the length of the answer is ambiguous");
+    BOOST_OUTCOME_TRY(role_ == HttpRole::Request ? checkRequestFraming(head_.headers_)
+                                                 : checkFraming(head_.headers_));
+    const bool hasCoding = head_.headers_.find("Transfer-Encoding").has_value();
+    const bool hasLength = head_.headers_.find("Content-Length").has_value();
+    const bool hasNoBody = role_ == HttpRole::Response
+            && (isHeadRequest_ || head_.status_ < firstFinalStatus
+                || head_.status_ == statusNoContent || head_.status_ == statusNotModified);
+    const auto isReadAlike = [&](auto &parser) {
+        return parser.chunked() == hasCoding && parser.content_length().has_value() == hasLength;
+    };
+    if (!native_->visit(isReadAlike)) {
+        return failure(ErrorKind::BadRequest, "the length of the message is ambiguous");
     }
-    if (isHeadRequest_ || head_.status_ < firstFinalStatus || head_.status_ == statusNoContent
-        || head_.status_ == statusNotModified) {
+    if (hasCoding && !head_.isHttp11_) {
+        return failure(ErrorKind::BadRequest, "HTTP/1.0 has no transfer codings");
+    }
+    head_.isKeptAlive_ = native_->visit([](auto &parser) { return parser.keep_alive(); });
+    if (hasNoBody) {
         head_.framing_ = BodyFraming::None;
-        hasNoBody_ = true;
-    } else if (coding) {
+    } else if (hasCoding) {
         head_.framing_ = BodyFraming::Chunked;
-    } else if (lengths == 1) {
+    } else if (hasLength) {
         head_.framing_ = BodyFraming::Length;
-        head_.length_ = htparser_get_content_length(native_->parser_);
-    } else {
+        head_.length_ = native_->visit([](auto &parser) { return *parser.content_length(); });
+    } else if (role_ == HttpRole::Response) {
         head_.framing_ = BodyFraming::UntilClose;
-        head_.isKeptAlive_ = false;
     }
     return success();
 }
--- a/packages/qz_http/stream/httpstreamparser.h
+++ b/packages/qz_http/stream/httpstreamparser.h
@@ -1,4 +1,4 @@
-// HTTP/1.1 messages from a stream of bytes, piece by piece, by libevhtp's parser.
+// HTTP/1.1 messages from a stream of bytes, piece by piece, by Boost.Beast's parser.
 #pragma once
 
 #include "qz_core/errors/error.h"
@@ -6,7 +6,6 @@
 
 #include <cstddef>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -28,7 +27,11 @@
 
 enum class HttpRole : std::uint8_t { Request, Response };
 
-/// Parses one message after another. A message whose length is ambiguous is an error.
+/// Parses one message after another. A head has one reading: the fields that the sink gets are
+/// those that decided where the body ends. A message whose length is ambiguous is an error.
+///
+/// Memory: nothing is kept of a body, and of a head, a chunk's head or a trailer no more than the
+/// limit. Trailer fields are dropped.
 ///
 /// Invariant: no byte after the end of a message is consumed by the call that ended it, so
 /// that the owner decides whether the connection carries another message.
@@ -42,9 +45,11 @@
     HttpStreamParser(const HttpStreamParser &) = delete;
     HttpStreamParser &operator=(const HttpStreamParser &) = delete;
 
-    /// Parses @p data up to the end of the current message; the number of bytes consumed.
-    /// Of a head that is not whole yet nothing is consumed: give it again with more bytes.
-    /// Errors: BadRequest for what is no message, RequestTooLarge for a head over the limit.
+    /// Parses @p data up to the end of the current message; the number of bytes consumed. What is
+    /// not consumed must be given again with more bytes: the part of a head that is not whole yet,
+    /// or of a chunk's head or a trailer.
+    /// Errors: BadRequest for what is no message, RequestTooLarge for a head, a chunk's head or a
+    /// trailer over the limit. After an error the parser is of no further use.
     Result<std::size_t> parse(std::string_view data);
 
     /// Tells the parser that the peer ended its side in order. True if that ends the message.
@@ -59,32 +64,25 @@
     bool hasEnded() const { return hasEnded_; }
 
 private:
-    struct Hooks;
-    friend struct Hooks;
     struct Native;
 
     Result<bool> checkHeadBytes(std::string_view data);
     Result<std::size_t> parseHead(std::string_view data);
     Result<std::size_t> parseBody(std::string_view data);
-    Result<std::size_t> runParser(std::string_view data);
-    void finishHead();
-    Result<void> checkHead();
-    Result<void> checkAnswerHead();
+    Result<void> finishHead();
+    Result<void> decideFraming();
 
     const HttpRole role_;
     HttpMessageSink &sink_;
     const std::size_t headLimitBytes_;
     std::unique_ptr<Native> native_;
     HttpHead head_;
-    std::string key_;
     bool hasBegun_ = false;
     bool hasHead_ = false;
     bool hasEnded_ = false;
-    bool isHeadRequest_ = false; ///< The answer is that to a HEAD request.
-    bool hasNoBody_ = false;     ///< An answer that ends with its head, whatever its fields say.
-    bool isInterim_ = false;     ///< A 1xx answer, which is skipped.
-    int interimCount_ = 0;       ///< Interim answers before the current one.
-    std::optional<Error> problem_;
+    bool hasSkippedLine_ = false; ///< An empty line ahead of a request.
+    bool isHeadRequest_ = false;  ///< The answer is that to a HEAD request.
+    int interimCount_ = 0;        ///< Interim answers (1xx) before the current one.
 };
 
 } // namespace qz
--- a/packages/qz_http/tests/httpservertest.cpp
+++ b/packages/qz_http/tests/httpservertest.cpp
@@ -85,6 +85,19 @@
     BOOST_TEST(countOf(answer, "/p|abcde") == 1U);
 }
 
+// Guards against a body that is lost because the parser does not know the spelling of its coding.
+BOOST_AUTO_TEST_CASE(aChunkedBodyOfAnotherSpellingIsReadWholeOrRefused)
+{
+    for (const std::string coding : { "CHUNKED", "chunked ", "\tchunked", "Chunked" }) {
+        EchoServer echo;
+        const std::string answer = echo.exchange("POST /p HTTP/1.1\r\nHost: x\r\nTransfer-Encoding:"
+                                                 + coding + "\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+        const bool isWhole = countOf(answer, "/p|abc") == 1;
+        const bool isRefused = countOf(answer, "HTTP/1.1 400") == 1 && echo.requests_ == 0;
+        BOOST_TEST((isWhole || isRefused), coding << ": " << answer);
+    }
+}
+
 BOOST_DATA_TEST_CASE(aPipelinedRequestIsNeverLeftInSilence, boost::unit_test::data::make({ 0, 50 }),
                      delayMs)
 {
--- a/packages/qz_http/tests/httpstreamparsertest.cpp
+++ b/packages/qz_http/tests/httpstreamparsertest.cpp
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace {
@@ -160,6 +161,143 @@
     }
 }
 
+// Guards against a body that is lost because the name of its coding is spelled in another way.
+BOOST_AUTO_TEST_CASE(fieldsThatDecideALengthAreReadInAnySpelling)
+{
+    const std::string chunks = "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n";
+    const std::pair<std::string, std::string> bodies[] = {
+        { "Transfer-Encoding: chunked", chunks },
+        { "Transfer-Encoding: Chunked", chunks },
+        { "Transfer-Encoding: CHUNKED", chunks },
+        { "transfer-encoding:chunked", chunks },
+        { "Transfer-Encoding: chunked ", chunks },
+        { "Transfer-Encoding: chunked\t ", chunks },
+        { "Transfer-Encoding:\tchunked", chunks },
+        { "TRANSFER-ENCODING:  chUnked", chunks },
+        { "Content-Length:5", "hello" },
+        { "Content-Length:\t5", "hello" },
+        { "CONTENT-LENGTH: \t 5", "hello" },
+        { "content-length: 5\t", "hello" },
+        { "Content-Length: 0000000005 ", "hello" },
+    };
+    for (const auto &[field, body] : bodies) {
+        for (const std::size_t step : steps) {
+            Messages requests(qz::HttpRole::Request);
+            std::string rest = "\r\nHost: h\r\n";
+            rest.append(field).append("\r\nX: y\r\n\r\n").append(body);
+            std::string text = "POST / HTTP/1.1" + rest;
+            text.append("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+            BOOST_TEST_INFO(field);
+            BOOST_TEST(requests.feed(text, step));
+            BOOST_REQUIRE(requests.messages_.size() == 2);
+            BOOST_TEST(requests.messages_[0].body_ == "hello");
+            BOOST_TEST(requests.messages_[1].head_.target_ == "/2");
+            Messages answers(qz::HttpRole::Response);
+            BOOST_TEST(answers.feed("HTTP/1.1 200 OK" + rest, step));
+            BOOST_REQUIRE(answers.messages_.size() == 1);
+            BOOST_TEST(answers.messages_[0].body_ == "hello");
+            BOOST_TEST(answers.messages_[0].hasEnded_);
+        }
+    }
+}
+
+// Guards against fields of which two readers make different lengths.
+BOOST_AUTO_TEST_CASE(fieldsThatDecideNoClearLengthAreRefused)
+{
+    for (const std::string field : {
+                 "Content-Length: +5",
+                 "Content-Length: -5",
+                 "Content-Length: 5, 5",
+                 "Content-Length: 0x5",
+                 "Content-Length: 5 5",
+                 "Content-Length:",
+                 "Content-Length: 18446744073709551621",
+                 "Content-Length: 5\r\ncontent-length: 5",
+                 "Transfer-Encoding: gzip, chunked",
+                 "Transfer-Encoding: chunked, chunked",
+                 "Transfer-Encoding: chunked;q=1",
+                 "Transfer-Encoding: xchunked",
+                 "Transfer-Encoding:",
+                 "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                 "Transfer-Encoding: CHUNKED\r\nContent-Length: 5",
+                 "Content-Length: 5\r\nTransfer-Encoding: identity",
+         }) {
+        const std::string fields = "\r\nHost: h\r\n" + field + "\r\n\r\n";
+        for (const std::size_t step : steps) {
+            BOOST_TEST_INFO(field);
+            Messages requests(qz::HttpRole::Request);
+            BOOST_TEST(!requests.feed("POST / HTTP/1.1" + fields + "hello", step));
+            BOOST_TEST(requests.messages_.empty());
+            for (const std::string status : { "200 OK", "204 No Content" }) {
+                Messages answers(qz::HttpRole::Response);
+                std::string text = "HTTP/1.1 ";
+                text.append(status).append(fields).append("hello");
+                BOOST_TEST(!answers.feed(text, step));
+                BOOST_TEST(answers.messages_.empty());
+            }
+        }
+    }
+}
+
+// Guards against chunks that another recipient reads with another length.
+BOOST_AUTO_TEST_CASE(chunksThatAreNoneAreRefused)
+{
+    for (const std::string body : {
+                 "5 \r\nhello\r\n0\r\n\r\n",
+                 "0x5\r\nhello\r\n0\r\n\r\n",
+                 "-5\r\nhello\r\n0\r\n\r\n",
+                 "\r\n5\r\nhello\r\n0\r\n\r\n",
+                 "10000000000000005\r\nhello\r\n0\r\n\r\n",
+                 "5\nhello\n0\n\n",
+                 "5\r\nhello0\r\n\r\n",
+                 "5\r\nhello\r\n0\r\nX : y\r\n\r\n",
+                 "5\r\nhello\r\n0\r\nContent-Length: 9\r\n\r\n",
+         }) {
+        for (const std::size_t step : steps) {
+            BOOST_TEST_INFO(body);
+            Messages answers(qz::HttpRole::Response);
+            BOOST_TEST(!answers.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body
+                                             + std::string(headLimit, ' '),
+                                     step));
+            BOOST_TEST((answers.messages_.empty() || !answers.messages_[0].hasEnded_));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(extensionsOfChunksAndTrailersAreReadOver)
+{
+    const std::string text = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                             "2;a=b\r\nhe\r\n03 ; name=\"a;b\";c\r\nllo\r\n000;last\r\n"
+                             "X-Trailer: y\r\nHost: i\r\n\r\n"
+                             "PUT /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                             "0\r\n\r\n";
+    for (const std::size_t step : steps) {
+        Messages messages(qz::HttpRole::Request);
+        BOOST_TEST(messages.feed(text, step));
+        BOOST_REQUIRE(messages.messages_.size() == 2);
+        BOOST_TEST(messages.messages_[0].body_ == "hello");
+        BOOST_TEST(messages.messages_[0].head_.headers_.all().size() == 2);
+        BOOST_TEST(messages.messages_[1].body_.empty());
+        BOOST_TEST(messages.messages_[1].hasEnded_);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(targetsInAbsoluteFormNameTheirHost)
+{
+    const std::pair<std::string, std::string> targets[] = {
+        { "http://other:81/p?q", "/p?q" },
+        { "HTTP://other:81", "/" },
+        { "http://other:81?q", "/?q" },
+    };
+    for (const auto &[target, origin] : targets) {
+        Messages messages(qz::HttpRole::Request);
+        BOOST_TEST(messages.feed("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n", 1000));
+        BOOST_REQUIRE(messages.messages_.size() == 1);
+        BOOST_TEST(messages.messages_[0].head_.target_ == origin);
+        BOOST_TEST(messages.messages_[0].head_.headers_.find("Host").value() == "other:81");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aHeadOverTheLimitIsRefused)
 {
     Messages messages(qz::HttpRole::Request);
--- a/packages/qz_http/tests/rawsocket.h
+++ b/packages/qz_http/tests/rawsocket.h
@@ -146,6 +146,8 @@
 
     int connectionCount() const { return connections_; }
     int readCount() const { return reads_; }
+    /// Returns all bytes received so far, of all connections.
+    const std::string &received() const { return received_; }
 
 private:
     static void onAccept(evconnlistener * /*listener*/, evutil_socket_t descriptor,
@@ -163,7 +165,9 @@
     {
         auto &server = *static_cast<RawServer *>(self);
         evbuffer *input = bufferevent_get_input(stream);
-        evbuffer_drain(input, evbuffer_get_length(input));
+        std::string text(evbuffer_get_length(input), '\0');
+        evbuffer_remove(input, text.data(), text.size());
+        server.received_ += text;
         server.script_(stream, ++server.reads_);
     }
 
@@ -177,6 +181,7 @@
     EventLoop &loop_;
     Script script_;
     evconnlistener *listener_;
+    std::string received_;
     int connections_ = 0;
     int reads_ = 0;
 };
