Don't pass on the fields that a list in Connection names

Callers and servers could send a field of their connection to the other side: with "Connection: keep-alive, X-Hop" the whole value was taken for one name, only the first Connection field was looked at, and answers were not checked.

Both directions now drop each field that any Connection field names (RFC 9110, 7.6.1).

--- a/packages/qz_forward/requests/forwardattempt.cpp
+++ b/packages/qz_forward/requests/forwardattempt.cpp
@@ -104,6 +104,7 @@
     if (id) {
         request_.forwarder().recordNamedLimit(*server_, head);
     }
+    removeFieldsOfConnection(head.headers_);
     responseHead_ = std::move(head);
     hasResponseHead_ = true;
 }
--- a/packages/qz_forward/requests/forwardedrequest.cpp
+++ b/packages/qz_forward/requests/forwardedrequest.cpp
@@ -155,10 +155,7 @@
 {
     const ForwardHeaders &names = forwarder_.settings().headers_;
     HttpHead head = exchange_->head();
-    if (const auto connection = head.headers_.find("Connection")) {
-        // A header field that Connection names applies to one connection only.
-        head.headers_.remove(*connection);
-    }
+    removeFieldsOfConnection(head.headers_);
     head.headers_.remove("Expect");
     const Duration left = endTime() - forwarder_.loop().now();
     head.headers_.set(names.deadline_,
--- a/packages/qz_forward/tests/forwardertest.cpp
+++ b/packages/qz_forward/tests/forwardertest.cpp
@@ -200,6 +200,25 @@
     }
 }
 
+// Guards against fields of one connection that are passed on because Connection lists several.
+BOOST_AUTO_TEST_CASE(fieldsThatConnectionListsAreNotPassedOn)
+{
+    const std::string fields =
+            "Connection: keep-alive,X-Hop ,\tx-other\r\nX-Hop: 1\r\nX-Other: 2\r\n"
+            "Connection: X-Third\r\nX-Third: 3\r\nX-Kept: 4\r\n";
+    Fixture fixture;
+    fixture.setRoute(false);
+    const RawServer &server = fixture.addServer(
+            "a", respondWith(responseHead + fields + "Content-Length: 2\r\n\r\nok"));
+    const std::string response = fixture.sendRequest(100ms, fields);
+    for (const std::string &passedOn : { server.received(), response }) {
+        for (const std::string field : { "Connection", "X-Hop", "X-Other", "X-Third" }) {
+            BOOST_TEST(!contains(passedOn, field + ":"), field);
+        }
+        BOOST_TEST(contains(passedOn, "X-Kept: 4\r\n"));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(requestWithoutConfigurationIsRejected)
 {
     Fixture fixture;
--- a/packages/qz_http/messages/httpmessages.cpp
+++ b/packages/qz_http/messages/httpmessages.cpp
@@ -1,6 +1,9 @@
 // Header fields.
 #include "qz_http/messages/httpmessages.h"
 
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+
 #include <strings.h>
 
 #include <algorithm>
@@ -29,6 +32,21 @@
                        [name](std::string_view known) { return equalsIgnoringCase(known, name); });
 }
 
+void removeFieldsOfConnection(HttpHeaders &headers)
+{
+    std::vector<std::string> names;
+    for (const HttpHeader &header : headers.all()) {
+        if (equalsIgnoringCase(header.name_, "Connection")) {
+            std::vector<std::string> listed;
+            boost::split(listed, header.value_, boost::is_any_of(", \t"));
+            names.insert(names.end(), listed.begin(), listed.end());
+        }
+    }
+    for (const std::string &name : names) {
+        headers.remove(name);
+    }
+}
+
 void HttpHeaders::add(std::string name, std::string value)
 {
     headers_.push_back({ std::move(name), std::move(value) });
--- a/packages/qz_http/messages/httpmessages.h
+++ b/packages/qz_http/messages/httpmessages.h
@@ -42,6 +42,10 @@
 /// Whether a field of this name belongs to one connection and is not passed on by a proxy.
 bool isHopByHop(std::string_view name);
 
+/// Removes the fields that the Connection fields of @p headers name: they belong to one connection
+/// too (RFC 9110, 7.6.1).
+void removeFieldsOfConnection(HttpHeaders &headers);
+
 struct HttpRequest
 {
     std::string method_ = "GET";
