Send nothing more to a server that says in its answers that it leaves

Cause: nothing read the field; only the entry in the store closed a server. Ruled out: a way around the choice of the server. With the field read, kept connections, retries, hedges, trials and attempts being connected all stop.

Change: the head of an answer with the request's id closes the server for its incarnation, kept by id and time of start, so that no older, restored or repeated entry opens it; a later start is a new server. All instances are told by an extension of the message that carried limits. An answer with 421 comes from another server, and no longer sets a limit either. The new event server-leaving says who learned it and how.

--- a/apps/quetzaldaled/serve/servedaemon.cpp
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -80,19 +80,18 @@
         presence_.sendHealthReport(
                 { server.listed().id_, server.listed().incarnation_, ejectionTime });
     });
-    forwarder_.setLimitListener(
-            [this](const Backend &server, std::optional<double> requestsPerSecond) {
-                presence_.sendLimitReport({ server.listed().id_, server.listed().incarnation_,
-                                            requestsPerSecond.has_value(),
-                                            requestsPerSecond.value_or(0.0) });
-            });
+    forwarder_.setStatementListener([this](const Backend &server) {
+        const auto rate = server.rateLimit().requestsPerSecond(loop_.now());
+        presence_.sendServerStatement({ server.listed().id_, server.listed().incarnation_,
+                                        rate.has_value(), rate.value_or(0.0), server.isLeaving() });
+    });
     forwarder_.setServerRoleProvider([this](const Backend &server) {
         return serverRoles_.find(server.listed().id_, server.listed().location_);
     });
     presence_.setHealthReportHandler(
             [this](const HealthReportMessage &report) { applyHealthReport(report); });
-    presence_.setLimitReportHandler(
-            [this](const LimitReportMessage &report) { applyLimitReport(report); });
+    presence_.setServerStatementHandler(
+            [this](const ServerStatementMessage &report) { applyServerStatement(report); });
     presence_.setVersionsProvider([this] { return replicas_.versions(); });
     presence_.setVersionsHandler([this](const InstanceId &from, const TableVersions &versions) {
         replicas_.requestNewerTables(from, versions);
@@ -217,8 +216,11 @@
     }
 }
 
-void ServeDaemon::applyLimitReport(const LimitReportMessage &report)
+void ServeDaemon::applyServerStatement(const ServerStatementMessage &report)
 {
+    if (report.isLeaving_) {
+        forwarder_.applyReportedLeaving(report.server_, report.incarnation_);
+    }
     const auto server = backends_.find(report.server_);
     if (server == nullptr || server->listed().incarnation_ != report.incarnation_) {
         return;
@@ -358,6 +360,7 @@
                 { { "server", id.value() },
                   { "service", server->listed().service_.value() },
                   { "draining", server->listed().isDraining_ },
+                  { "leaving", server->isLeaving() },
                   { "in_flight", server->inFlight() },
                   { "idle_connections", server->idleConnectionCount() },
                   { "good", server->health().state(loop_.now()) == ServerHealth::State::Good } });
--- a/apps/quetzaldaled/tests/servepathtest.cpp
+++ b/apps/quetzaldaled/tests/servepathtest.cpp
@@ -7,6 +7,7 @@
 #include "platform/tests/fakestore.h"
 #include "testbed/daemonprocess.h"
 
+#include <algorithm>
 #include <csignal>
 #include <memory>
 
@@ -27,9 +28,10 @@
 "Services":{"Columns":["Name"],"Rows":[["s"]]}})";
 }
 
-std::string makeBackend(const qz::Endpoint &endpoint)
+std::string makeBackend(const qz::Endpoint &endpoint, int born = 1)
 {
-    return R"({"Address":")" + qz::toString(endpoint) + R"(","born":1,"Info":{"Service":"s",
+    return R"({"Address":")" + qz::toString(endpoint) + R"(","born":)" + std::to_string(born)
+            + R"(,"Info":{"Service":"s",
 "Version":"v","Zone":"d","Slots":4},"Status":{"State":"ready","Sequence":1,"ColdRemainingS":0}})";
 }
 
@@ -70,10 +72,11 @@
         : store_(loop_)
         , backend_(loop_, [this](bufferevent *stream, int reads) {
             backendReads_ = reads;
-            answers_.push_back(loop_.callAfter(answerDelay_, [stream] {
+            answers_.push_back(loop_.callAfter(answerDelay_, [this, stream] {
                 write(stream,
                       "HTTP/1.1 200 OK\r\nX-Quetzaldale-Attempt-Id: 1\r\n"
-                      "X-Quetzaldale-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok");
+                      "X-Quetzaldale-Response-Seal: s\r\n"
+                              + answerFields_ + "Content-Length: 2\r\n\r\nok");
             }));
         })
     {
@@ -148,6 +151,7 @@
     std::vector<qz::Timers::HandlePtr> answers_;
     RawServer backend_;
     std::vector<std::unique_ptr<Instance>> instances_;
+    std::string answerFields_; ///< Further fields of the backend server's answers.
 };
 
 /// Returns how often @p part occurs in @p text.
@@ -333,6 +337,43 @@
     BOOST_TEST(fixture.requestStatus(caller, "/a/x") == 200);
 }
 
+// Guards against requests to a server that says in its answers that it leaves, while the store
+// cannot be reached and afterwards, from any instance.
+BOOST_AUTO_TEST_CASE(serverThatLeavesWithoutTheStoreGetsNoFurtherRequests)
+{
+    Fixture fixture(2);
+    for (const auto &instance : fixture.instances_) {
+        BOOST_REQUIRE(fixture.awaitReady(*instance));
+    }
+    fixture.loop_.runFor(1s); // Until the instances have exchanged heartbeats.
+    fixture.store_.setFault(FakeStore::Fault::Silent);
+    fixture.answerFields_ = "Server-Leaving: 1\r\n";
+    BOOST_TEST(fixture.requestStatus(fixture.instances_[0]->caller_, "/a/x") == 200);
+    fixture.loop_.runFor(200ms);
+    const auto areAllRejected = [&fixture] {
+        return std::all_of(fixture.instances_.begin(), fixture.instances_.end(),
+                           [&fixture](const auto &instance) {
+                               return fixture.requestStatus(instance->caller_, "/a/x") == 503;
+                           });
+    };
+    BOOST_TEST(areAllRejected());
+    fixture.store_.setFault(FakeStore::Fault::None);
+    fixture.store_.put(backendTable, "b", makeBackend(fixture.backend_.endpoint()));
+    fixture.loop_.runFor(3s);
+    BOOST_TEST(areAllRejected());
+    fixture.store_.remove(backendTable, "b");
+    fixture.loop_.runFor(1500ms);
+    fixture.store_.put(backendTable, "b", makeBackend(fixture.backend_.endpoint()));
+    fixture.loop_.runFor(1500ms);
+    BOOST_TEST(areAllRejected());
+    BOOST_TEST(fixture.backendReads_ == 1);
+    // It starts again under its id.
+    fixture.answerFields_.clear();
+    fixture.store_.put(backendTable, "b", makeBackend(fixture.backend_.endpoint(), 2));
+    fixture.loop_.runFor(1500ms);
+    BOOST_TEST(fixture.requestStatus(fixture.instances_[1]->caller_, "/a/x") == 200);
+}
+
 // Guards against logging that blocks requests when the log output cannot be written.
 BOOST_AUTO_TEST_CASE(unwritableLogOutputDoesNotDelayRequests)
 {
--- a/packages/qz_fleet/messages/messagekind.cpp
+++ b/packages/qz_fleet/messages/messagekind.cpp
@@ -28,7 +28,7 @@
     "table-update",
     "table-version",
     "instance-list",
-    "limit-report",
+    "server-statement",
 };
 
 } // namespace
--- a/packages/qz_fleet/messages/messagekind.h
+++ b/packages/qz_fleet/messages/messagekind.h
@@ -30,7 +30,7 @@
     TableUpdate = 17,      ///< A table's rows, all or those that changed.
     TableVersion = 18,     ///< The sender has this version of a table.
     InstanceList = 19,     ///< The instances that the sender knows. @see PresenceDriver
-    LimitReport = 20,      ///< The rate of requests that a backend server accepts.
+    ServerStatement = 20,  ///< What a backend server says of itself in its responses.
 };
 
 /// One more than the highest value of a kind.
--- a/packages/qz_forward/backends/backend.cpp
+++ b/packages/qz_forward/backends/backend.cpp
@@ -30,7 +30,14 @@
 
 bool Backend::isOpen() const
 {
-    return isListed_ && (!listed_.isDraining_ || isFaultInjected(FaultPoint::LeavingIgnored));
+    const bool mayLeave = listed_.isDraining_ || isLeaving_;
+    return isListed_ && (!mayLeave || isFaultInjected(FaultPoint::LeavingIgnored));
+}
+
+void Backend::startLeaving()
+{
+    isLeaving_ = true;
+    idle_.clear();
 }
 
 void Backend::close()
--- a/packages/qz_forward/backends/backend.h
+++ b/packages/qz_forward/backends/backend.h
@@ -44,8 +44,12 @@
     const ListedBackend &listed() const { return listed_; }
     void update(const ListedBackend &listed) { listed_ = listed; }
 
-    /// Returns true if the server is listed and not draining, so that it may get new requests.
+    /// Returns true if the server is listed and not leaving, so that it may get new requests.
     bool isOpen() const;
+    /// Records that the server itself has said that it leaves, and closes its idle connections.
+    void startLeaving();
+    /// Returns whether the server itself has said that it leaves.
+    bool isLeaving() const { return isLeaving_; }
     /// Marks the server as removed from the list and closes its idle connections.
     void close();
 
@@ -93,6 +97,7 @@
     std::vector<std::unique_ptr<BackendConnection>> idle_;
     TimePoint lastSent_{};
     bool isListed_ = true;
+    bool isLeaving_ = false; ///< Once set, holds whatever the list says.
 };
 
 } // namespace qz
--- a/packages/qz_forward/backends/backendtable.cpp
+++ b/packages/qz_forward/backends/backendtable.cpp
@@ -17,6 +17,9 @@
 /// A copy from which the list is restored is younger than this.
 constexpr Duration removalMemory = std::chrono::minutes(1);
 
+/// A server that leaves has ended after this time.
+constexpr Duration leavingMemory = std::chrono::hours(1);
+
 nlohmann::json toJson(const ListedBackend &listed)
 {
     return { { "server", listed.id_.value() },
@@ -54,6 +57,10 @@
     removed_.erase(listed.id_);
     log(LogLevel::Info, "backend-listed", toJson(listed));
     const auto server = std::make_shared<Backend>(loop_, listed);
+    // Without the time of its start an entry cannot be told from that of an earlier incarnation.
+    if (listed.incarnation_ > 0 && isKnownAsLeaving(listed)) {
+        server->startLeaving();
+    }
     servers_[listed.id_] = server;
     services_[listed.service_].push_back(server);
 }
@@ -103,6 +110,35 @@
     outdatedUntil_ = loop_.now() + restorePeriod;
 }
 
+bool BackendTable::recordLeaving(const BackendServerId &id, std::int64_t incarnation)
+{
+    forgetOldLeavers();
+    const auto known = leaving_.find(id);
+    if (known != leaving_.end() && known->second.incarnation_ >= incarnation) {
+        return false;
+    }
+    leaving_[id] = { incarnation, loop_.now() };
+    const ServerPtr server = find(id);
+    if (server != nullptr && isKnownAsLeaving(server->listed())) {
+        server->startLeaving();
+    }
+    return true;
+}
+
+bool BackendTable::isKnownAsLeaving(const ListedBackend &listed) const
+{
+    const auto known = leaving_.find(listed.id_);
+    return known != leaving_.end() && listed.incarnation_ <= known->second.incarnation_;
+}
+
+void BackendTable::forgetOldLeavers()
+{
+    for (auto entry = leaving_.begin(); entry != leaving_.end();) {
+        const bool isOld = loop_.now() - entry->second.recordedAt_ > leavingMemory;
+        entry = isOld ? leaving_.erase(entry) : std::next(entry);
+    }
+}
+
 bool BackendTable::isOutdated(const ListedBackend &listed) const
 {
     const auto age = std::make_pair(listed.incarnation_, listed.revision_);
--- a/packages/qz_forward/backends/backendtable.h
+++ b/packages/qz_forward/backends/backendtable.h
@@ -18,6 +18,9 @@
 /// for a grace period after the list can be read again. A list that was restored from a copy may
 /// show servers as they were before; entries older than those that this instance has seen are then
 /// ignored.
+///
+/// A server that has said itself that it leaves gets no new requests for the rest of its
+/// incarnation, also if it is removed and listed again.
 /// @see ListedBackend
 class BackendTable
 {
@@ -43,6 +46,10 @@
     /// ignores outdated entries, also of servers that were removed.
     void expectOutdatedEntries();
 
+    /// Records that @p incarnation of a server has said that it leaves; the server need not be
+    /// listed. Returns whether this was not known.
+    bool recordLeaving(const BackendServerId &id, std::int64_t incarnation);
+
     /// Returns the servers of @p service; empty if none is listed.
     const std::vector<ServerPtr> &serversOf(const ServiceId &service) const;
 
@@ -64,6 +71,15 @@
         TimePoint removedAt_{};
     };
 
+    /// An incarnation that has said that it leaves.
+    struct LeavingServer
+    {
+        std::int64_t incarnation_ = 0;
+        TimePoint recordedAt_{};
+    };
+
+    bool isKnownAsLeaving(const ListedBackend &listed) const;
+    void forgetOldLeavers();
     /// Returns whether a later entry than @p listed was seen, or its server removed since.
     bool isOutdated(const ListedBackend &listed) const;
     void erase(const BackendServerId &id);
@@ -77,6 +93,7 @@
     /// Servers to remove at the end of the grace period.
     std::map<BackendServerId, bool> missing_;
     std::map<BackendServerId, RemovedServer> removed_; ///< Within the last minute.
+    std::map<BackendServerId, LeavingServer> leaving_;
     TimePoint graceUntil_{};
     TimePoint outdatedUntil_{}; ///< The list may contain outdated entries until then.
     Timers::HandlePtr graceTimer_;
--- a/packages/qz_forward/requests/forwardattempt.cpp
+++ b/packages/qz_forward/requests/forwardattempt.cpp
@@ -102,7 +102,7 @@
         return;
     }
     if (id) {
-        request_.forwarder().recordNamedLimit(*server_, head);
+        request_.forwarder().recordStatements(*server_, head);
     }
     removeFieldsOfConnection(head.headers_);
     responseHead_ = std::move(head);
--- a/packages/qz_forward/requests/forwarder.cpp
+++ b/packages/qz_forward/requests/forwarder.cpp
@@ -16,6 +16,10 @@
 /// Number of requests that can be deferred after a start; each takes a few kilobytes.
 constexpr std::size_t maxDeferredRequests = 500;
 
+constexpr int statusMisdirectedRequest = 421;
+/// Value of the field by which a server says that it leaves.
+constexpr std::string_view leavingValue = "1";
+
 /// Parses requests per second. A text that is no such number names no limit.
 std::optional<double> parseRate(const std::string &text)
 {
@@ -165,7 +169,53 @@
     }
 }
 
-void Forwarder::recordNamedLimit(Backend &server, const HttpHead &head)
+void Forwarder::recordStatements(Backend &server, const HttpHead &head)
+{
+    if (head.status_ == statusMisdirectedRequest) {
+        return; // Another server has taken over the address.
+    }
+    const bool isLimitNews = recordNamedLimit(server, head);
+    const bool isLeavingNews = recordNamedLeaving(server, head);
+    if ((isLimitNews || isLeavingNews) && statementListener_) {
+        server.rateLimit().recordReport(loop_.now());
+        statementListener_(server);
+    }
+}
+
+bool Forwarder::recordNamedLeaving(const Backend &server, const HttpHead &head)
+{
+    const auto text = head.headers_.find(settings_.headers_.leaving_);
+    if (!text) {
+        return false;
+    }
+    if (*text != leavingValue) {
+        log(LogLevel::Warning, "server-leaving-malformed",
+            { { "server", server.listed().id_.value() }, { "value", *text } });
+        return false;
+    }
+    const ListedBackend &listed = server.listed();
+    const bool isNews = backends_.recordLeaving(listed.id_, listed.incarnation_);
+    if (isNews) {
+        logLeaving(listed.id_, listed.incarnation_, "response");
+    }
+    return isNews;
+}
+
+void Forwarder::applyReportedLeaving(const BackendServerId &id, std::int64_t incarnation)
+{
+    if (backends_.recordLeaving(id, incarnation)) {
+        logLeaving(id, incarnation, "report");
+    }
+}
+
+void Forwarder::logLeaving(const BackendServerId &id, std::int64_t incarnation,
+                           std::string_view source)
+{
+    log(LogLevel::Info, "server-leaving",
+        { { "server", id.value() }, { "incarnation", incarnation }, { "source", source } });
+}
+
+bool Forwarder::recordNamedLimit(Backend &server, const HttpHead &head)
 {
     const TimePoint now = loop_.now();
     const auto text = head.headers_.find(settings_.headers_.rateLimit_);
@@ -175,19 +225,14 @@
             { { "server", server.listed().id_.value() }, { "value", *text } });
     }
     if (!rate && head.headers_.find(settings_.headers_.notRun_)) {
-        return; // A rejection does not say whether the limit still applies.
+        return false; // A rejection does not say whether the limit still applies.
     }
     const bool isChanged =
             rate ? server.rateLimit().set(*rate, now) : server.rateLimit().clear(now);
     if (isChanged) {
         logLimit(server, "response");
     }
-    if (isChanged || (rate && server.rateLimit().isReportDue(now))) {
-        server.rateLimit().recordReport(now);
-        if (limitListener_) {
-            limitListener_(server, rate);
-        }
-    }
+    return isChanged || (rate && server.rateLimit().isReportDue(now));
 }
 
 void Forwarder::applyReportedLimit(Backend &server, std::optional<double> requestsPerSecond)
--- a/packages/qz_forward/requests/forwarder.h
+++ b/packages/qz_forward/requests/forwarder.h
@@ -47,10 +47,9 @@
     /// itself, or with zero when an ejected server has recovered. @see isServerFault
     using HealthListener = std::function<void(const Backend &server, Duration ejectionTime)>;
 
-    /// Called when a server names a limit for the first time, with another rate, or again after
-    /// some time, and without a rate when it no longer names one.
-    using LimitListener =
-            std::function<void(const Backend &server, std::optional<double> requestsPerSecond)>;
+    /// Called when a response shows that a server leaves, names a limit for the first time, with
+    /// another rate, or again after some time, or no longer names one. The statement is in force.
+    using StatementListener = std::function<void(const Backend &server)>;
 
     Forwarder(EventLoop &loop, ForwardSettings settings, BackendTable &backends,
               ForwardMetrics &metrics);
@@ -72,11 +71,17 @@
 
     void setHealthListener(HealthListener listener) { healthListener_ = std::move(listener); }
 
-    void setLimitListener(LimitListener listener) { limitListener_ = std::move(listener); }
+    void setStatementListener(StatementListener listener)
+    {
+        statementListener_ = std::move(listener);
+    }
 
     /// Applies the limit of @p server that another instance reported, or its end.
     void applyReportedLimit(Backend &server, std::optional<double> requestsPerSecond);
 
+    /// Applies that, as another instance reported, an incarnation of a server leaves.
+    void applyReportedLeaving(const BackendServerId &id, std::int64_t incarnation);
+
     /// Sets this instance's share of the slack of the retry budgets. @see RetryAllowance
     void setSlackPart(double slackPart);
 
@@ -125,8 +130,8 @@
     /// place is. @see ServerHealth::recordOverdue
     void ejectIfOverdue(Backend &server, bool isRepeatable);
     ServerRole serverRole(const Backend &server) const;
-    /// Takes the limit that @p server names, or no longer names, from the head of its response.
-    void recordNamedLimit(Backend &server, const HttpHead &head);
+    /// Takes what @p server says of itself from the head of its response to a request.
+    void recordStatements(Backend &server, const HttpHead &head);
     /// Returns the time after which a rejected request to @p service should come back, at most
     /// @p limit, if the limits of all @p servers exclude further requests now, otherwise zero. Each
     /// call reserves a later time, so that requests come back in the order in which they were
@@ -138,7 +143,13 @@
 
 private:
     void logEjection(const Backend &server, std::string_view cause);
+    /// Returns whether the limit has changed, or is to be reported again.
+    bool recordNamedLimit(Backend &server, const HttpHead &head);
+    /// Returns whether @p server leaves and this was not known.
+    bool recordNamedLeaving(const Backend &server, const HttpHead &head);
     void logLimit(const Backend &server, std::string_view source);
+    static void logLeaving(const BackendServerId &id, std::int64_t incarnation,
+                           std::string_view source);
 
     EventLoop &loop_;
     const ForwardSettings settings_;
@@ -154,7 +165,7 @@
     std::map<ServiceId, FailureRateTracker> failureRateTrackers_;
     std::map<ServiceId, TimePoint> lastReturns_; ///< Times that reserveReturn() gave last.
     HealthListener healthListener_;
-    LimitListener limitListener_;
+    StatementListener statementListener_;
     ServerRoleProvider serverRoleProvider_;
     std::mt19937_64 random_;
     std::map<ForwardedRequest *, std::unique_ptr<ForwardedRequest>> requests_;
--- a/packages/qz_forward/requests/forwardheaders.h
+++ b/packages/qz_forward/requests/forwardheaders.h
@@ -15,6 +15,7 @@
     std::string seal_;         ///< In a response: signature of the backend server.
     /// In a response: requests per second that the server accepts from all instances together.
     std::string rateLimit_;
+    std::string leaving_; ///< In a response: "1" if the server will stop soon.
 };
 
 } // namespace qz
--- a/packages/qz_forward/tests/backendtabletest.cpp
+++ b/packages/qz_forward/tests/backendtabletest.cpp
@@ -75,6 +75,45 @@
     BOOST_TEST(!table.find(idA)->isOpen());
 }
 
+// Guards against an entry, older, restored or listed again, that returns a leaving server to
+// service.
+BOOST_AUTO_TEST_CASE(serverThatSaidThatItLeavesIsNotOpenAgainInThisIncarnation)
+{
+    qz::EventLoop loop;
+    qz::BackendTable table(loop);
+    table.put(makeListed("a", 5));
+    BOOST_TEST(table.recordLeaving(idA, 5));
+    BOOST_TEST(!table.recordLeaving(idA, 5));
+    BOOST_TEST(!table.find(idA)->isOpen());
+    table.put(makeListed("a", 5));
+    BOOST_TEST(!table.find(idA)->isOpen());
+    table.remove(idA);
+    table.put(makeListed("a", 5));
+    BOOST_TEST(!table.find(idA)->isOpen());
+    auto moved = makeListed("a", 5);
+    moved.service_ = qz::ServiceId("other");
+    table.put(moved);
+    BOOST_TEST(!table.find(idA)->isOpen());
+    table.put(makeListed("a", 4));
+    BOOST_TEST(!table.find(idA)->isOpen());
+    table.replaceAll({});
+    table.replaceAll({ makeListed("a", 5) });
+    BOOST_TEST(!table.find(idA)->isOpen());
+    table.put(makeListed("a", 6));
+    BOOST_TEST(table.find(idA)->isOpen());
+    BOOST_TEST(!table.recordLeaving(idA, 5)); // Late word of the incarnation before.
+    BOOST_TEST(table.find(idA)->isOpen());
+}
+
+BOOST_AUTO_TEST_CASE(leavingOfAServerThatIsNotListedYetIsRemembered)
+{
+    qz::EventLoop loop;
+    qz::BackendTable table(loop);
+    BOOST_TEST(table.recordLeaving(idA, 5));
+    table.put(makeListed("a", 5));
+    BOOST_TEST(!table.find(idA)->isOpen());
+}
+
 BOOST_AUTO_TEST_CASE(serverThatChangesItsServiceIsRemovedFromTheOldService)
 {
     qz::EventLoop loop;
--- a/packages/qz_forward/tests/forwardertest.cpp
+++ b/packages/qz_forward/tests/forwardertest.cpp
@@ -61,10 +61,12 @@
         return *servers_.back();
     }
 
-    void putServer(const std::string &id, const qz::Endpoint &endpoint, bool isDraining = false)
+    void putServer(const std::string &id, const qz::Endpoint &endpoint, bool isDraining = false,
+                   std::int64_t incarnation = 1)
     {
         qz::ListedBackend listed;
         listed.id_ = qz::BackendServerId(id);
+        listed.incarnation_ = incarnation;
         listed.service_ = qz::ServiceId("service");
         listed.endpoint_ = endpoint;
         listed.location_ = { qz::RegionId("r"),
@@ -118,7 +120,8 @@
     {
         qz::ForwardSettings settings;
         settings.location_ = { qz::RegionId("r"), qz::FailureDomainId("d") };
-        settings.headers_ = { "X-Id", "X-Deadline", "X-Expect", "X-Not-Run", "X-Seal", "X-Limit" };
+        settings.headers_ = { "X-Id",   "X-Deadline", "X-Expect", "X-Not-Run",
+                              "X-Seal", "X-Limit",    "X-Leaving" };
         settings.retryBudget_.slack_ = 10.0;
         settings.retryBudget_.window_ = 10ms;
         return settings;
@@ -454,6 +457,104 @@
     BOOST_TEST(statusOf(fixture.sendRequest(20ms)) == 200);
 }
 
+// Guards against requests to a server whose notice that it leaves stands in its answers only.
+BOOST_AUTO_TEST_CASE(serverThatSaysThatItLeavesGetsNoFurtherRequests)
+{
+    const std::string leaving = "X-Leaving: 1\r\n";
+    const std::pair<std::string, int> answers[] = {
+        { responseHead + leaving + "Content-Length: 2\r\n\r\nok", 200 },
+        { "HTTP/1.1 500 Failed\r\nX-Id: 1\r\nX-Seal: s\r\n" + leaving
+                  + "Content-Length: 3\r\n\r\nbad",
+          500 },
+        { "HTTP/1.1 503 Full\r\nX-Id: 1\r\nX-Not-Run: 1\r\n" + leaving
+                  + "Content-Length: 0\r\n\r\n",
+          200 }, // Of the second server.
+    };
+    for (const auto &[answer, status] : answers) {
+        Fixture fixture;
+        fixture.setRoute(false);
+        const RawServer &first = fixture.addServer("a", respondWith(answer));
+        const RawServer &second = fixture.addServer("b", respondWith(successResponse));
+        BOOST_TEST(statusOf(fixture.sendRequest(30ms)) == status);
+        BOOST_TEST(fixture.backends_.find(qz::BackendServerId("a"))->idleConnectionCount() == 0);
+        const int secondBefore = second.readCount();
+        for (int i = 0; i < 5; ++i) {
+            fixture.putServer("a", first.endpoint()); // An entry in which it is ready.
+            BOOST_TEST(statusOf(fixture.sendRequest(30ms)) == 200);
+        }
+        BOOST_TEST(first.readCount() == 1);
+        BOOST_TEST(second.readCount() == secondBefore + 5);
+        // The server starts again under its id.
+        fixture.putServer("a", first.endpoint(), false, 2);
+        BOOST_TEST(fixture.backends_.find(qz::BackendServerId("a"))->isOpen());
+    }
+}
+
+// Guards against a retry, a hedged or a trial request to a server that has said that it leaves.
+BOOST_AUTO_TEST_CASE(leavingServerGetsNoRetriesHedgesOrTrials)
+{
+    Fixture fixture;
+    fixture.setRoute(true, 2s, 3);
+    const RawServer &leaving = fixture.addServer(
+            "a",
+            respondWith("HTTP/1.1 503 Full\r\nX-Id: 1\r\nX-Not-Run: 1\r\nX-Leaving: 1\r\n"
+                        "Content-Length: 0\r\n\r\n"));
+    const RawServer &other = fixture.addServer("b", [](bufferevent *stream, int reads) {
+        if (reads > 1) {
+            resetConnection(stream); // The first request is never answered.
+        }
+    });
+    fixture.sendRequest(2500ms);
+    BOOST_TEST(leaving.readCount() == 1);
+    BOOST_TEST(other.readCount() >= 1);
+    // The other server is ejected by now, so that only trials remain.
+    for (int i = 0; i < 10; ++i) {
+        const int status = statusOf(fixture.sendRequest(300ms));
+        BOOST_TEST((status == 502 || status == 503 || status == 0));
+    }
+    BOOST_TEST(leaving.readCount() == 1);
+}
+
+// Guards against a request that was being connected when the server said that it leaves.
+BOOST_AUTO_TEST_CASE(requestIsNotSentIfTheServerLeavesWhileItsConnectionIsOpened)
+{
+    Fixture fixture;
+    fixture.setRoute(false);
+    const RawServer &first = fixture.addServer("a", respondWith(successResponse));
+    const RawServer &second = fixture.addServer("b", respondWith(successResponse));
+    RawClient client(fixture.loop_, fixture.endpoint_);
+    client.send("GET / HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n");
+    const auto server = fixture.backends_.find(qz::BackendServerId("a"));
+    while (server->inFlight() == 0) {
+        event_base_loop(fixture.loop_.base(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
+    }
+    fixture.forwarder_.applyReportedLeaving(qz::BackendServerId("a"), 1);
+    fixture.loop_.runFor(200ms);
+    BOOST_TEST(statusOf(client.received()) == 200);
+    BOOST_TEST(first.readCount() == 0);
+    BOOST_TEST(second.readCount() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(onlyAServersOwnWordsAreTakenForItsLeaving)
+{
+    const std::string answers[] = {
+        responseHead + "X-Leaving: 0\r\n" + "Content-Length: 2\r\n\r\nok",
+        responseHead + "X-Leaving: yes\r\n" + "Content-Length: 2\r\n\r\nok",
+        // Another server has taken over the address.
+        "HTTP/1.1 421 Other\r\nX-Id: 1\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+        // An answer to another request.
+        "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n" + successResponse,
+    };
+    for (const std::string &answer : answers) {
+        Fixture fixture;
+        fixture.setRoute(false);
+        fixture.addServer("a", respondWith(answer));
+        fixture.sendRequest(50ms);
+        BOOST_TEST_INFO(answer);
+        BOOST_TEST(fixture.backends_.find(qz::BackendServerId("a"))->isOpen());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(unreachableServerDoesNotFailTheRequest)
 {
     Fixture fixture;
--- a/packages/qz_presence/exchange/presencedriver.cpp
+++ b/packages/qz_presence/exchange/presencedriver.cpp
@@ -31,7 +31,7 @@
 {
     links_.setHandler(MessageKind::Presence, nullptr);
     links_.setHandler(MessageKind::HealthReport, nullptr);
-    links_.setHandler(MessageKind::LimitReport, nullptr);
+    links_.setHandler(MessageKind::ServerStatement, nullptr);
     links_.setHandler(MessageKind::InstanceList, nullptr);
 }
 
@@ -45,9 +45,9 @@
                       [this](const InstanceId &from, std::string_view payload) {
                           receiveHealthReport(from, payload);
                       });
-    links_.setHandler(MessageKind::LimitReport,
+    links_.setHandler(MessageKind::ServerStatement,
                       [this](const InstanceId &from, std::string_view payload) {
-                          receiveLimitReport(from, payload);
+                          receiveServerStatement(from, payload);
                       });
     links_.setHandler(MessageKind::InstanceList,
                       [this](const InstanceId &from, std::string_view payload) {
@@ -104,13 +104,13 @@
     sendReport(receivers, MessageKind::HealthReport, packMessage(report));
 }
 
-void PresenceDriver::sendLimitReport(const LimitReportMessage &report)
+void PresenceDriver::sendServerStatement(const ServerStatementMessage &report)
 {
     auto receivers = directory_.domainPeers();
     for (InstanceRecord &remote : directory_.remoteEntries()) {
         receivers.push_back(std::move(remote));
     }
-    sendReport(receivers, MessageKind::LimitReport, packMessage(report));
+    sendReport(receivers, MessageKind::ServerStatement, packMessage(report));
 }
 
 void PresenceDriver::sendReport(const std::vector<InstanceRecord> &receivers, MessageKind kind,
@@ -197,19 +197,19 @@
     }
 }
 
-void PresenceDriver::receiveLimitReport(const InstanceId &from, std::string_view payload)
+void PresenceDriver::receiveServerStatement(const InstanceId &from, std::string_view payload)
 {
-    const auto message = unpackMessage<LimitReportMessage>(payload);
+    const auto message = unpackMessage<ServerStatementMessage>(payload);
     if (message.has_error() || !std::isfinite(message.value().requestsPerSecond_)
         || message.value().requestsPerSecond_ < 0.0) {
-        log(LogLevel::Warning, "limit-report-malformed", { { "from", from.value() } });
+        log(LogLevel::Warning, "server-statement-malformed", { { "from", from.value() } });
         return;
     }
     if (!directory_.isInSameDomain(from)) {
-        sendReport(directory_.domainPeers(), MessageKind::LimitReport, std::string(payload));
+        sendReport(directory_.domainPeers(), MessageKind::ServerStatement, std::string(payload));
     }
-    if (limitReportHandler_) {
-        limitReportHandler_(message.value());
+    if (serverStatementHandler_) {
+        serverStatementHandler_(message.value());
     }
 }
 
--- a/packages/qz_presence/exchange/presencedriver.h
+++ b/packages/qz_presence/exchange/presencedriver.h
@@ -13,8 +13,8 @@
 namespace qz {
 
 /// Sends presence messages to all instances of the failure domain a few times a second, health
-/// reports to the entry instances of all failure domains, and limit reports to all instances. A
-/// report may be lost; the receiver then detects the failure or the limit by its own requests.
+/// reports to the entry instances of all failure domains, and statements of backend servers to all
+/// instances. Either may be lost; the receiver then learns the same by its own requests.
 ///
 /// Instances that start at the same time each find only some of the others in the store.
 /// Therefore two instances of a domain whose lists of known instances differ exchange them.
@@ -23,7 +23,7 @@
 {
 public:
     using HealthReportHandler = std::function<void(const HealthReportMessage &)>;
-    using LimitReportHandler = std::function<void(const LimitReportMessage &)>;
+    using ServerStatementHandler = std::function<void(const ServerStatementMessage &)>;
     using VersionsHandler = std::function<void(const InstanceId &, const TableVersions &)>;
 
     PresenceDriver(EventLoop &loop, PeerLinks &links, InstanceDirectory &directory);
@@ -54,19 +54,19 @@
     /// Sends a health report to the entry instances of all failure domains.
     void sendHealthReport(const HealthReportMessage &report);
 
-    void setLimitReportHandler(LimitReportHandler handler)
+    void setServerStatementHandler(ServerStatementHandler handler)
     {
-        limitReportHandler_ = std::move(handler);
+        serverStatementHandler_ = std::move(handler);
     }
-    /// Sends a limit report to all instances, since any instance may get requests of callers. The
+    /// Sends a statement to all instances, since any instance may get requests of callers. The
     /// entry instances of other failure domains pass it on in their domain.
-    void sendLimitReport(const LimitReportMessage &report);
+    void sendServerStatement(const ServerStatementMessage &report);
 
 private:
     void announce();
     void receivePresence(const InstanceId &from, std::string_view payload);
     void receiveHealthReport(const InstanceId &from, std::string_view payload);
-    void receiveLimitReport(const InstanceId &from, std::string_view payload);
+    void receiveServerStatement(const InstanceId &from, std::string_view payload);
     void sendReport(const std::vector<InstanceRecord> &receivers, MessageKind kind,
                     const std::string &message);
     void receiveList(const InstanceId &from, std::string_view payload);
@@ -79,7 +79,7 @@
     PeerLinks &links_;
     InstanceDirectory &directory_;
     HealthReportHandler healthReportHandler_;
-    LimitReportHandler limitReportHandler_;
+    ServerStatementHandler serverStatementHandler_;
     std::function<TableVersions()> versionsProvider_;
     VersionsHandler versionsHandler_;
     InstanceState state_;
--- a/packages/qz_presence/exchange/presencemessages.h
+++ b/packages/qz_presence/exchange/presencemessages.h
@@ -48,15 +48,20 @@
     MSGPACK_DEFINE(server_, incarnation_, ejectionTime_)
 };
 
-/// Reports the limit that a backend server names, or that it no longer names one.
-struct LimitReportMessage
+/// Passes on what a backend server says of itself in its responses: its limit, or that it no longer
+/// names one, and that it leaves.
+struct ServerStatementMessage
 {
     BackendServerId server_;
     std::int64_t incarnation_ = 0; ///< Incarnation of the backend server.
     bool isLimited_ = false;
     double requestsPerSecond_ = 0.0; ///< From all instances together; unused without a limit.
 
-    MSGPACK_DEFINE(server_, incarnation_, isLimited_, requestsPerSecond_)
+    /// The server leaves. False says nothing: a leaving server stays one. Instances of an earlier
+    /// version neither send nor read this member, which therefore comes last.
+    bool isLeaving_ = false;
+
+    MSGPACK_DEFINE(server_, incarnation_, isLimited_, requestsPerSecond_, isLeaving_)
 };
 
 } // namespace qz
--- a/packages/qz_replica/tests/replicatest.cpp
+++ b/packages/qz_replica/tests/replicatest.cpp
@@ -369,8 +369,8 @@
     BOOST_TEST(c.replicas_->version("t") == 3);
 }
 
-// Guards against requests from instances that do not know the limit of a server.
-BOOST_AUTO_TEST_CASE(limitReportReachesAllInstances)
+// Guards against requests from instances that do not know the limit of a server, or that it leaves.
+BOOST_AUTO_TEST_CASE(serverStatementReachesAllInstances)
 {
     qz::EventLoop loop;
     Node a(loop, "a", "d");
@@ -381,18 +381,22 @@
     const std::vector<Node *> all{ &a, &b, &c, &remote1, &remote2 };
     addAllInstances(all);
     std::vector<double> rates;
+    int leaving = 0;
     for (Node *node : all) {
         node->presence_->setState({ true, false });
         node->presence_->start();
-        node->presence_->setLimitReportHandler([&rates](const qz::LimitReportMessage &report) {
-            rates.push_back(report.requestsPerSecond_);
-        });
+        node->presence_->setServerStatementHandler(
+                [&](const qz::ServerStatementMessage &statement) {
+                    rates.push_back(statement.requestsPerSecond_);
+                    leaving += statement.isLeaving_ ? 1 : 0;
+                });
     }
     loop.runFor(600ms);
-    a.presence_->sendLimitReport({ qz::BackendServerId("s"), 1, true, 2.5 });
-    a.presence_->sendLimitReport({ qz::BackendServerId("s"), 1, true, std::nan("") });
+    a.presence_->sendServerStatement({ qz::BackendServerId("s"), 1, true, 2.5, true });
+    a.presence_->sendServerStatement({ qz::BackendServerId("s"), 1, true, std::nan(""), false });
     loop.runFor(200ms);
     BOOST_TEST(rates.size() == 4);
+    BOOST_TEST(leaving == 4);
     for (const double rate : rates) {
         BOOST_TEST(rate == 2.5);
     }
--- a/tests/soak/soakcallers.cpp
+++ b/tests/soak/soakcallers.cpp
@@ -93,7 +93,16 @@
     }
 
     void takeConnected() override { send(); }
-    void takeAnswerHead(HttpHead head) override { answerHead_ = std::move(head); }
+    void takeAnswerHead(HttpHead head) override
+    {
+        const ForwardHeaders names = platform::makeForwardHeaders();
+        const auto seal = head.headers_.find(names.seal_);
+        if (seal && head.headers_.find(names.leaving_)) {
+            callers_.leavingPassedOn_.try_emplace({ endpoint_, SoakServer::serverOfSeal(*seal) },
+                                                  callers_.loop_.now());
+        }
+        answerHead_ = std::move(head);
+    }
     void takeAnswerBody(std::string_view data) override { answer_.append(data); }
     void takeSendDrained() override { }
     void takeFailure(const Error &error) override { finish(0, error.message_); }
@@ -175,6 +184,7 @@
     ++tally_.sent_;
     ledger_.retryBudget_.recordRequest(loop_.now());
     auto call = std::make_unique<Call>(*this, endpoint, ++lastNumber_);
+    requests_[call->id()] = { endpoint, loop_.now() };
     if (call->isOnce()) {
         onceIds_.insert(call->id());
     }
@@ -262,6 +272,19 @@
     return { ended, answered };
 }
 
+std::optional<SoakCallers::SentRequest> SoakCallers::findRequest(const std::string &id) const
+{
+    const auto found = requests_.find(id);
+    return found == requests_.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::optional<TimePoint> SoakCallers::leavingPassedOnAt(const Endpoint &endpoint,
+                                                        const std::string &server) const
+{
+    const auto found = leavingPassedOn_.find({ endpoint, server });
+    return found == leavingPassedOn_.end() ? std::nullopt : std::optional(found->second);
+}
+
 void SoakCallers::checkLedger()
 {
     for (const auto &[id, runs] : ledger_.runs_) {
--- a/tests/soak/soakcallers.h
+++ b/tests/soak/soakcallers.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -52,6 +53,18 @@
     /// Checks the ledger at the end: what must run at most once, or not at all.
     void checkLedger();
 
+    /// When and where a request was sent.
+    struct SentRequest
+    {
+        Endpoint endpoint_;
+        TimePoint sentAt_{};
+    };
+    /// Returns nothing for an id that is not of these callers.
+    std::optional<SentRequest> findRequest(const std::string &id) const;
+    /// Returns when the instance at @p endpoint first passed on that @p server leaves, if it did.
+    std::optional<TimePoint> leavingPassedOnAt(const Endpoint &endpoint,
+                                               const std::string &server) const;
+
 private:
     class Call;
     struct End
@@ -78,6 +91,9 @@
     std::map<Call *, std::unique_ptr<Call>> calls_;
     std::vector<std::unique_ptr<Call>> ended_; ///< Dropped on the loop's next turn.
     std::map<Endpoint, std::vector<std::unique_ptr<BackendConnection>>> idle_;
+    std::map<std::string, SentRequest> requests_; ///< All, by id.
+    /// When an instance first passed on that a server leaves.
+    std::map<std::pair<Endpoint, std::string>, TimePoint> leavingPassedOn_;
     std::set<std::string> onceIds_;   ///< Must run at most once.
     std::set<std::string> notRunIds_; ///< Were told as not run.
     int lastNumber_ = 0;
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -157,6 +157,7 @@
                + " requests are answered after the last fault");
     }
     checkLeaving();
+    checkLeavingByAnswers();
     checkRetryBudget();
     callers_->checkLedger();
     result_.tally_ = callers_->tally();
@@ -443,15 +444,20 @@
 {
     std::vector<SoakServer *> open;
     for (const auto &server : servers_) {
-        if (!server->isDraining()) {
+        if (!server->isLeaving()) {
             open.push_back(server.get());
         }
     }
     SoakServer &leaving = *open[static_cast<std::size_t>(drawBelow(int(open.size())))];
-    note("drain " + leaving.id());
     addServer(service);
-    leaving.startDraining(loop_.now());
-    publishServer(leaving);
+    if (random_() % 2 == 0) {
+        note("drain " + leaving.id());
+        leaving.startDraining(loop_.now());
+        publishServer(leaving);
+    } else {
+        note("leave by answers " + leaving.id());
+        leaving.startLeaving();
+    }
     const Duration listed = drawDuration(500ms, 2500ms);
     // The others stay listed as leaving, and serve, to the end.
     if (drawBelow(2) == 0) {
@@ -555,6 +561,31 @@
     }
 }
 
+void SoakRun::checkLeavingByAnswers()
+{
+    for (const auto &[server, ids] : ledger_.arrivalsWhileLeaving_) {
+        for (const std::string &id : ids) {
+            const auto request = callers_->findRequest(id);
+            const auto passedOnAt = request
+                    ? callers_->leavingPassedOnAt(request->endpoint_, server)
+                    : std::nullopt;
+            if (!passedOnAt || request->sentAt_ <= *passedOnAt + drainLimit) {
+                continue;
+            }
+            const auto isExcused = [&](const auto &instance) {
+                return instance->caller_ == request->endpoint_
+                        && instance->calmSince_ > *passedOnAt;
+            };
+            if (std::none_of(instances_.begin(), instances_.end(), isExcused)) {
+                std::ostringstream text;
+                text << "DRAIN: request " << id << " reached " << server
+                     << " long after its instance had passed on that it leaves";
+                report(text.str());
+            }
+        }
+    }
+}
+
 void SoakRun::checkRetryBudget()
 {
     const RetryBudgetCheck::Window worst = ledger_.retryBudget_.worstWindow();
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -71,6 +71,8 @@
     void probeInstance(Instance &instance);
     void ask(const Endpoint &endpoint, const std::string &target, AnswerHandler handler);
     void checkLeaving();
+    /// The same for servers that say so in their answers only.
+    void checkLeavingByAnswers();
     void checkRetryBudget();
     void updateAddresses();
     Endpoint pickAddress();
--- a/tests/soak/soakservers.cpp
+++ b/tests/soak/soakservers.cpp
@@ -114,16 +114,29 @@
     return std::bernoulli_distribution(share)(random_);
 }
 
+HttpHead SoakServer::makeHead(int status, const std::string &id) const
+{
+    const ForwardHeaders names = platform::makeForwardHeaders();
+    HttpHead head;
+    head.status_ = status;
+    head.headers_.add(names.requestId_, id);
+    if (isLeaving_) {
+        head.headers_.add(names.leaving_, "1");
+    }
+    return head;
+}
+
 void SoakServer::handle(const std::shared_ptr<CallerExchange> &exchange)
 {
     const ForwardHeaders names = platform::makeForwardHeaders();
     lastRequestAt_ = loop_.now();
-    ledger_.retryBudget_.recordArrival(
-            exchange->head().headers_.find(names.requestId_).value_or(""), loop_.now());
-    HttpHead refusal;
+    const std::string id = exchange->head().headers_.find(names.requestId_).value_or("");
+    ledger_.retryBudget_.recordArrival(id, loop_.now());
+    if (isLeaving_) {
+        ledger_.arrivalsWhileLeaving_[id_].push_back(id);
+    }
+    HttpHead refusal = makeHead(0, id);
     refusal.headers_.add(names.notRun_, "1");
-    refusal.headers_.add(names.requestId_,
-                         exchange->head().headers_.find(names.requestId_).value_or(""));
     if (exchange->head().headers_.find(names.expectServer_).value_or(id_) != id_) {
         refusal.status_ = 421;
         exchange->reply(refusal, "");
@@ -169,9 +182,7 @@
     const ForwardHeaders names = platform::makeForwardHeaders();
     if (run.sent_ == 0) {
         const std::string id = run.exchange_->head().headers_.find(names.requestId_).value_or("");
-        HttpHead head;
-        head.status_ = 200;
-        head.headers_.add(names.requestId_, id);
+        HttpHead head = makeHead(200, id);
         head.headers_.add(names.seal_, makeSeal(id_, id));
         head.framing_ = BodyFraming::Chunked;
         run.exchange_->startReply(head);
@@ -225,9 +236,7 @@
     }
     const ForwardHeaders names = platform::makeForwardHeaders();
     const std::string id = exchange->head().headers_.find(names.requestId_).value_or("");
-    HttpHead head;
-    head.status_ = 200;
-    head.headers_.add(names.requestId_, id);
+    HttpHead head = makeHead(200, id);
     head.headers_.add(names.seal_, makeSeal(id_, id));
     if (draw(fault_.repeatShare_)) {
         sendTwice(exchange, head, run.body_);
--- a/tests/soak/soakservers.h
+++ b/tests/soak/soakservers.h
@@ -22,6 +22,8 @@
     }
 
     std::map<std::string, int> runs_;
+    /// Requests that arrived at a server that says in its answers that it leaves, by the server.
+    std::map<std::string, std::vector<std::string>> arrivalsWhileLeaving_;
     RetryBudgetCheck retryBudget_;
 };
 
@@ -51,12 +53,16 @@
     Relay &relay() { return relay_; }
     void setFault(const SoakServerFault &fault) { fault_ = fault; }
     bool isDraining() const { return isDraining_; }
-    /// Says from now on that it leaves.
+    /// Says from now on in its entry that it leaves.
     void startDraining(TimePoint now)
     {
         isDraining_ = true;
         drainingSince_ = now;
     }
+    /// Says from now on in its answers that it leaves, and not in its entry, as a server that is
+    /// cut off from the store.
+    void startLeaving() { isLeaving_ = true; }
+    bool isLeaving() const { return isLeaving_ || isDraining_; }
     TimePoint drainingSince() const { return drainingSince_; }
 
     /// When it got its last request; zero before.
@@ -84,6 +90,8 @@
     void sendTwice(const std::shared_ptr<CallerExchange> &exchange, HttpHead head,
                    const std::string &body);
     bool draw(double share);
+    /// The head of an answer to request @p id, with what the server says of itself.
+    HttpHead makeHead(int status, const std::string &id) const;
 
     EventLoop &loop_;
     const std::string id_;
@@ -95,6 +103,7 @@
     Relay relay_;
     SoakServerFault fault_;
     bool isDraining_ = false;
+    bool isLeaving_ = false;
     TimePoint drainingSince_{};
     TimePoint lastRequestAt_{};
     std::map<Run *, std::unique_ptr<Run>> running_;      ///< Never more than slots and queue.
