End a control call whose answer has no end

Cause: HttpCaller appended the body without a limit until the call timed out; a backup reader waits for 10 s.

Change: an answer over 8 MiB ends the call as AnswerTooLarge at once; nothing more is kept.

--- a/packages/qz_http/stream/httpcaller.cpp
+++ b/packages/qz_http/stream/httpcaller.cpp
@@ -6,11 +6,12 @@
 namespace qz {
 
 HttpCaller::HttpCaller(EventLoop &loop, Endpoint server, Duration connectTimeout,
-                       Duration silenceLimit)
+                       Duration silenceLimit, std::size_t answerLimitBytes)
     : loop_(loop)
     , server_(std::move(server))
     , connectTimeout_(connectTimeout)
     , silenceLimit_(silenceLimit)
+    , answerLimitBytes_(answerLimitBytes)
 {
 }
 
@@ -18,6 +19,7 @@
 {
     request_ = request;
     response_ = HttpResponse();
+    isTooLarge_ = false;
     done_ = std::move(done);
     timeout_ = loop_.callAfter(timeout, [this] {
         connection_.reset();
@@ -78,7 +80,12 @@
 
 void HttpCaller::takeAnswerBody(std::string_view data)
 {
-    response_.body_.append(data);
+    isTooLarge_ = isTooLarge_ || response_.body_.size() + data.size() > answerLimitBytes_;
+    if (isTooLarge_) {
+        connection_->rejectAnswer("the answer is too large");
+    } else {
+        response_.body_.append(data);
+    }
 }
 
 void HttpCaller::takeAnswerEnd()
@@ -90,7 +97,7 @@
 void HttpCaller::takeFailure(const Error &error)
 {
     connection_.reset();
-    finish(error);
+    finish(isTooLarge_ ? failure(ErrorKind::AnswerTooLarge, error.message_) : error);
 }
 
 void HttpCaller::finish(Result<HttpResponse> result)
--- a/packages/qz_http/stream/httpcaller.h
+++ b/packages/qz_http/stream/httpcaller.h
@@ -11,6 +11,9 @@
 
 namespace qz {
 
+/// Size of an answer's body over which a control call fails.
+constexpr std::size_t defaultAnswerLimitBytes = std::size_t(8) * 1024 * 1024;
+
 /// Keeps one connection and makes it anew when it is of no further use. A call is sent once;
 /// whether a failed one took effect is not known.
 /// @see BackendConnection
@@ -20,11 +23,12 @@
     using Done = std::function<void(Result<HttpResponse>)>;
 
     /// A connection that does not stand after @p connectTimeout is given up; one whose peer
-    /// is silent for @p silenceLimit ends.
-    HttpCaller(EventLoop &loop, Endpoint server, Duration connectTimeout, Duration silenceLimit);
+    /// is silent for @p silenceLimit ends. The body of an answer has at most @p answerLimitBytes.
+    HttpCaller(EventLoop &loop, Endpoint server, Duration connectTimeout, Duration silenceLimit,
+               std::size_t answerLimitBytes = defaultAnswerLimitBytes);
 
     /// Calls @p done once: with the answer, or with BackendConnectFailed, BackendCut,
-    /// BackendTimeout or AnswerMismatch. Only while no other call is under way.
+    /// BackendTimeout, AnswerMismatch or AnswerTooLarge. Only while no other call is under way.
     void call(const HttpRequest &request, Duration timeout, Done done);
 
     /// Gives up the call under way, if any, without calling done.
@@ -47,10 +51,12 @@
     const Endpoint server_;
     const Duration connectTimeout_;
     const Duration silenceLimit_;
+    const std::size_t answerLimitBytes_;
     std::unique_ptr<BackendConnection> connection_;
     HttpRequest request_;
     HttpResponse response_;
-    Done done_; ///< Set exactly while a call is under way.
+    bool isTooLarge_ = false; ///< The answer has exceeded the limit; its rest is dropped.
+    Done done_;               ///< Set exactly while a call is under way.
     Timers::HandlePtr timeout_;
     Timers::HandlePtr connectTimer_;
 };
