Let further requests of a connection wait until its caller reads

A caller that sends requests and reads nothing fills the memory of its instance with answers: of 1,000 pipelined requests all were run at once, and their answers of 60 kB kept.

Cause: the next request of a connection was read as soon as the answer before it had been given to the output buffer, however much waited there.

Change: while more than 64 KiB of answers wait for the caller, the next request stays unread; it is read once they have been sent.

furtherRequestsOfAConnectionWaitUntilItsCallerReads fails on the code before (1000 of 1000 run) and passes now.

--- a/packages/qz_http/stream/callerconnection.cpp
+++ b/packages/qz_http/stream/callerconnection.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t inputLimitBytes = std::size_t(64) * 1024;
 /// Body bytes held before the request is handed over, and later at most that many unread.
 constexpr std::size_t bodyBufferBytes = std::size_t(64) * 1024;
+/// Bytes of answers that wait for the caller, over which its next request waits too.
+constexpr std::size_t maxUnsentBytes = std::size_t(64) * 1024;
 
 } // namespace
 
@@ -162,8 +164,11 @@
 
 bool CallerConnection::mayRead() const
 {
-    return !isEnded_ && !parser_.hasEnded()
-            && (exchange_ == nullptr || exchange_->body_.size() < bodyBufferBytes);
+    if (isEnded_ || parser_.hasEnded()) {
+        return false;
+    }
+    return exchange_ == nullptr ? unsentBytes() <= maxUnsentBytes
+                                : exchange_->body_.size() < bodyBufferBytes;
 }
 
 void CallerConnection::onWritten(bufferevent * /*stream*/, void *self)
@@ -171,6 +176,7 @@
     auto &connection = *static_cast<CallerConnection *>(self);
     if (connection.exchange_ == nullptr && !connection.parser_.isInMessage()) {
         connection.quietSince_ = connection.server_.loop().now();
+        connection.startNext();
     }
     if (connection.exchange_ != nullptr && connection.exchange_->listener_ != nullptr) {
         connection.exchange_->listener_->takeDrained();
--- a/packages/qz_http/tests/callerservertest.cpp
+++ b/packages/qz_http/tests/callerservertest.cpp
@@ -81,6 +81,31 @@
     BOOST_TEST(!client.hasEnded());
 }
 
+// Guards against answers without end in memory, for a caller that sends requests and reads nothing.
+BOOST_AUTO_TEST_CASE(furtherRequestsOfAConnectionWaitUntilItsCallerReads)
+{
+    constexpr std::size_t requests = 1000;
+    constexpr std::size_t answerBytes = 60000;
+    Fixture fixture;
+    fixture.handler_ = [&](const auto &exchange) {
+        Fixture::answer(exchange, std::string(answerBytes, 'x'));
+    };
+    RawClient client(fixture.loop_, fixture.endpoint_);
+    client.setReading(false);
+    for (std::size_t i = 0; i < requests; ++i) {
+        client.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    fixture.loop_.runFor(500ms);
+    BOOST_TEST(fixture.exchanges_.size() < requests / 4); // What the system's buffers take.
+    client.setReading(true);
+    const auto end = fixture.loop_.now() + 10s;
+    while (client.received().size() < requests * answerBytes && fixture.loop_.now() < end) {
+        fixture.loop_.runFor(10ms);
+    }
+    BOOST_TEST(fixture.exchanges_.size() == requests);
+    BOOST_TEST(!client.hasEnded());
+}
+
 BOOST_AUTO_TEST_CASE(aCallerThatLeavesIsNoticedWhileItsAnswerIsWorkedOut)
 {
     Fixture fixture;
