End a connection whose head has no end in HttpServer

Header lines without end were kept: libevhtp limits a line, not their sum. The connection now ends at 64 KiB.

aHeadWithoutEndEndsItsConnection fails on the code before and passes now.

--- a/packages/qz_http/server/httpserver.cpp
+++ b/packages/qz_http/server/httpserver.cpp
@@ -13,6 +13,7 @@
 
 constexpr int listenBacklog = 1024;
 constexpr Duration lingerLimit = std::chrono::seconds(2);
+constexpr std::size_t headLimitBytes = std::size_t(64) * 1024;
 
 } // namespace
 
@@ -21,16 +22,25 @@
 {
     static evhtp_res onAccept(evhtp_connection_t *connection, void *server)
     {
-        static_cast<HttpServer *>(server)->connections_.insert(connection);
+        static_cast<HttpServer *>(server)->connections_.emplace(connection, 0);
+        set(connection, evhtp_hook_on_header, &Hooks::onHeader, server);
         set(connection, evhtp_hook_on_headers, &Hooks::onHeaders, server);
         set(connection, evhtp_hook_on_connection_fini, &Hooks::onConnectionEnd, server);
         return EVHTP_RES_OK;
     }
 
+    static evhtp_res onHeader(evhtp_request_t *request, evhtp_header_t *header, void *server)
+    {
+        std::size_t &bytes = static_cast<HttpServer *>(server)->connections_[request->conn];
+        bytes += header->klen + header->vlen;
+        return bytes > headLimitBytes ? EVHTP_RES_ERROR : EVHTP_RES_OK;
+    }
+
     static evhtp_res onHeaders(evhtp_request_t *request, evhtp_headers_t * /*headers*/,
                                void *server)
     {
         auto &self = *static_cast<HttpServer *>(server);
+        self.connections_[request->conn] = 0;
         const auto exchange = std::make_shared<HttpExchange>(
                 self.loop_, request, [&self](evhtp_request_t *answered) { self.close(answered); });
         self.exchanges_[request] = exchange;
@@ -136,7 +146,7 @@
 {
     stopListening();
     while (!connections_.empty()) {
-        evhtp_connection_free(*connections_.begin());
+        evhtp_connection_free(connections_.begin()->first);
     }
     evhtp_free(evhtp_);
 }
@@ -160,7 +170,10 @@
 
 void HttpServer::closeIdleConnections()
 {
-    std::set<evhtp_connection *> idle = connections_;
+    std::set<evhtp_connection *> idle;
+    for (const auto &[connection, headBytes] : connections_) {
+        idle.insert(connection);
+    }
     for (const auto &[request, exchange] : exchanges_) {
         idle.erase(request->conn);
     }
--- a/packages/qz_http/server/httpserver.h
+++ b/packages/qz_http/server/httpserver.h
@@ -65,7 +65,8 @@
     const HttpServerLimits limits_;
     const Handler handler_;
     evhtp *evhtp_;
-    std::set<evhtp_connection *> connections_;                           ///< All that are open.
+    /// All that are open, with the bytes of the head that is being read.
+    std::map<evhtp_connection *, std::size_t> connections_;
     std::map<evhtp_request *, std::shared_ptr<HttpExchange>> exchanges_; ///< From headers to end.
     LingeringCloses lingering_;
     bool isListening_ = false;
--- a/packages/qz_http/tests/httpservertest.cpp
+++ b/packages/qz_http/tests/httpservertest.cpp
@@ -98,6 +98,24 @@
     }
 }
 
+// Guards against a head without end that is kept.
+BOOST_AUTO_TEST_CASE(aHeadWithoutEndEndsItsConnection)
+{
+    for (const std::string piece : { "X-Field: value\r\n", "x" }) {
+        EchoServer echo;
+        RawClient client(echo.loop_, echo.endpoint_);
+        client.send("GET /a HTTP/1.1\r\nHost: x\r\nX: ");
+        std::string flood;
+        while (flood.size() < std::size_t(1024) * 1024) {
+            flood += piece;
+        }
+        client.send(flood);
+        client.awaitEnd(500ms);
+        BOOST_TEST(client.hasEnded(), piece);
+        BOOST_TEST(echo.requests_ == 0);
+    }
+}
+
 BOOST_DATA_TEST_CASE(aPipelinedRequestIsNeverLeftInSilence, boost::unit_test::data::make({ 0, 50 }),
                      delayMs)
 {
