--- a/packages/qz_forward/tests/forwardertest.cpp
+++ b/packages/qz_forward/tests/forwardertest.cpp
@@ -635,6 +635,7 @@
     const std::string unsealed = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n";
     const std::string failed = "HTTP/1.1 500 Failed\r\nX-Id: 1\r\nX-Seal: s\r\n";
     const std::string chunk = "400\r\n" + std::string(1024, 'x') + "\r\n";
+    const std::string chunked = responseHead + "Transfer-Encoding: chunked\r\n\r\n";
     const std::pair<std::string, std::string> floods[] = {
         { "", std::string(65536, 'x') },
         { "HTTP/1.1 200 OK\r\n", repeat("X-Field: value\r\n", 4096) },
@@ -644,6 +645,9 @@
         { unsealed + "\r\n", std::string(65536, 'x') },
         { unsealed + "Transfer-Encoding: chunked\r\n\r\n", repeat(chunk, 64) },
         { failed + "Content-Length: 1000000000000\r\n\r\n", std::string(65536, 'x') },
+        { chunked, std::string(65536, '0') },
+        { chunked + "5;name=", std::string(65536, 'x') },
+        { chunked + "5\r\nhello\r\n0\r\n", repeat("X-Field: value\r\n", 4096) },
     };
     for (const bool isRepeatable : { true, false }) {
         for (const auto &[start, piece] : floods) {
--- a/packages/qz_http/tests/httpstreamparsertest.cpp
+++ b/packages/qz_http/tests/httpstreamparsertest.cpp
@@ -282,6 +282,40 @@
     }
 }
 
+// Guards against a peer that sends bytes without end where a line ends: nothing may be kept of them
+// beyond the limit of a head.
+BOOST_AUTO_TEST_CASE(linesWithoutEndAreRefusedAtTheLimit)
+{
+    const std::string coding = "Host: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::pair<std::string, std::string> floods[] = {
+        { "X-Field: ", "x" },                   // A field.
+        { "", "X-Field: y\r\n" },               // Fields.
+        { coding, "0" },                        // The size of a chunk.
+        { coding + "5\r\nhello\r\n", "0" },     // The size of a later chunk.
+        { coding + "5;name=", "x" },            // The extension of a chunk.
+        { coding + "5\r\nhello\r\n0;n=", "x" }, // The extension of the last chunk.
+        { coding + "0\r\nX-Field: ", "x" },     // A trailer field.
+        { coding + "0\r\n", "X-Field: y\r\n" }, // Trailer fields.
+    };
+    for (const std::string start : { "POST / HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\n" }) {
+        const bool isRequest = start[0] == 'P';
+        for (const auto &[head, piece] : floods) {
+            std::string flood;
+            while (flood.size() < 4 * headLimit) {
+                flood += piece;
+            }
+            for (const std::size_t step : steps) {
+                BOOST_TEST_INFO(start << head << piece);
+                Messages messages(isRequest ? qz::HttpRole::Request : qz::HttpRole::Response);
+                BOOST_TEST(messages.feed(start + head, step));
+                BOOST_TEST(!messages.feed(flood, step));
+                BOOST_REQUIRE(messages.error_.has_value());
+                BOOST_CHECK(messages.error_->kind_ == qz::ErrorKind::RequestTooLarge);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(targetsInAbsoluteFormNameTheirHost)
 {
     const std::pair<std::string, std::string> targets[] = {
