Refuse lines of a head that are no fields

Cause: libevhtp's parser takes any bytes up to a colon for a name and joins folded lines; checkRequestFraming() looks fields up by their exact names.

Change: Boost.Beast's parser, in use since the framing is read once, takes only tokens with the colon right behind them and values without control characters. Folded lines are refused ahead of it, and so is a status below 100, which was read over as an interim answer. The error names the line.

--- a/packages/qz_forward/tests/forwardertest.cpp
+++ b/packages/qz_forward/tests/forwardertest.cpp
@@ -16,7 +16,8 @@
 
 const std::string responseHead = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\n";
 const std::string successResponse = responseHead + "Content-Length: 2\r\n\r\nok";
-const std::string notRunResponse = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+const std::string notRunResponse =
+        "HTTP/1.1 503 Full\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
 const std::string serverErrorResponse =
         "HTTP/1.1 500 Failed\r\nX-Id: 1\r\nX-Seal: s\r\nContent-Length: 3\r\n\r\nbad";
 
@@ -370,6 +371,28 @@
     }
 }
 
+// Guards against a request that is made out of the body of another one.
+BOOST_AUTO_TEST_CASE(requestWhoseLengthIsHiddenIsRejectedAndItsBodyIsNotRun)
+{
+    const std::string inner =
+            "POST /inner HTTP/1.1\r\nHost: h\r\nX-Id: 2\r\nContent-Length: 0\r\n\r\n";
+    for (const std::string field : { "Content-Length : ", "Content-Length\t: ", " Content-Length: ",
+                                     "X: y\r\n Content-Length: " }) {
+        Fixture fixture;
+        fixture.setRoute(false);
+        const RawServer &server = fixture.addServer("a", respondWith(successResponse));
+        RawClient client(fixture.loop_, fixture.endpoint_);
+        std::string request = "POST / HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n";
+        request.append(field).append(std::to_string(inner.size())).append("\r\n\r\n").append(inner);
+        client.send(request);
+        client.awaitEnd(500ms);
+        BOOST_TEST_INFO(field);
+        BOOST_TEST(statusOf(client.received()) == 400);
+        BOOST_TEST(client.hasEnded());
+        BOOST_TEST(server.readCount() == 0);
+    }
+}
+
 // Guards against a success with an empty or short body, if a server closes within the head.
 BOOST_AUTO_TEST_CASE(responseThatEndsWithinItsHeadIsNeverPassedOn)
 {
--- a/packages/qz_http/stream/httpstreamparser.cpp
+++ b/packages/qz_http/stream/httpstreamparser.cpp
@@ -16,6 +16,7 @@
 
 namespace http = boost::beast::http;
 
+constexpr int firstStatus = 100;
 constexpr int firstFinalStatus = 200;
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
@@ -37,6 +38,19 @@
     return { text.data(), text.size() };
 }
 
+/// Returns the number of the first line of @p head that begins with a blank, from 1 up, or 0.
+std::ptrdiff_t findFoldedLine(std::string_view head)
+{
+    for (std::size_t at = head.find(lineEnd); at != std::string_view::npos;
+         at = head.find(lineEnd, at + 1)) {
+        const std::size_t next = at + lineEnd.size();
+        if (next < head.size() && (head[next] == ' ' || head[next] == '\t')) {
+            return std::count(head.begin(), head.begin() + next, '\n') + 1;
+        }
+    }
+    return 0;
+}
+
 /// Takes the head into an HttpHead and gives the body to a sink.
 template<bool isRequest>
 class MessageParser : public http::basic_parser<isRequest>
@@ -68,8 +82,11 @@
         head_.isHttp11_ = version >= versionHttp11;
     }
 
-    void on_response_impl(int status, Text /*reason*/, int version, ErrorCode & /*error*/) override
+    void on_response_impl(int status, Text /*reason*/, int version, ErrorCode &error) override
     {
+        if (status < firstStatus) {
+            error = http::error::bad_status;
+        }
         head_.status_ = status;
         head_.isHttp11_ = version >= versionHttp11;
     }
@@ -215,8 +232,13 @@
     }
     // The parser gets the head alone, so that it is checked before any of the body is taken.
     const std::size_t headSize = data.find(headEnd) + headEnd.size();
+    const std::string_view head = data.substr(0, headSize);
+    if (const auto folded = findFoldedLine(head)) {
+        return failure(ErrorKind::BadRequest,
+                       "line " + std::to_string(folded) + " of the head: folded");
+    }
     boost::beast::error_code error;
-    const std::size_t consumed = native_->put(data.substr(0, headSize), error);
+    const std::size_t consumed = native_->put(head, error);
     if (error) {
         const auto line = std::count(data.begin(), data.begin() + consumed, '\n') + 1;
         return failure(ErrorKind::BadRequest,
--- a/packages/qz_http/tests/httpstreamparsertest.cpp
+++ b/packages/qz_http/tests/httpstreamparsertest.cpp
@@ -23,8 +23,8 @@
         bool hasEnded_ = false;
     };
 
-    explicit Messages(qz::HttpRole role)
-        : parser_(role, *this, headLimit)
+    explicit Messages(qz::HttpRole role, std::size_t limit = headLimit)
+        : parser_(role, *this, limit)
     {
     }
 
@@ -282,6 +282,59 @@
     }
 }
 
+// Guards against a length or a coding that the next recipient reads and the parser does not, which
+// makes a request out of a body.
+BOOST_AUTO_TEST_CASE(linesThatAreNoFieldsAreRefused)
+{
+    const std::string lines[] = {
+        "Content-Length : 5",
+        "Transfer-Encoding : chunked",
+        "Content-Length\t: 5",
+        std::string("Content-Length\0: 5", 18),
+        "\"Content-Length\": 5",
+        " Content-Length: 5",
+        "\tContent-Length: 5",
+        "X-Field: v\r\n Content-Length: 5",
+        "X-Field:\r\n\tTransfer-Encoding: chunked",
+        "Content-Length: \r\n 5",
+        "X-Field: v\nContent-Length: 5",
+        "X-Field: v\rContent-Length: 5",
+        "X-Field: v\x01",
+        std::string("X-Field: a\0b", 12),
+        "X-Field: \x7f",
+        "Content-Length",
+        ": 5",
+        "X(y): 5",
+    };
+    for (const std::string &line : lines) {
+        for (const std::size_t step : steps) {
+            for (const bool isFirst : { true, false }) {
+                std::string fields = isFirst ? line : "Host: h";
+                fields.append("\r\n").append(isFirst ? "Host: h" : line).append("\r\n\r\nhello");
+                BOOST_TEST_INFO(line << " first: " << isFirst);
+                Messages requests(qz::HttpRole::Request);
+                BOOST_TEST(!requests.feed("POST / HTTP/1.1\r\n" + fields, step));
+                BOOST_TEST(requests.messages_.empty());
+                Messages answers(qz::HttpRole::Response);
+                BOOST_TEST(!answers.feed("HTTP/1.1 200 OK\r\n" + fields, step));
+                BOOST_TEST(answers.messages_.empty());
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(longFieldsAndTargetsWithinTheLimitAreTaken)
+{
+    Messages messages(qz::HttpRole::Request, 20000);
+    const std::string value(9000, 'v');
+    const std::string target = "/" + std::string(9000, 't');
+    BOOST_TEST(messages.feed("GET " + target + " HTTP/1.1\r\nHost: h\r\nX: " + value + "\r\n\r\n",
+                             999));
+    BOOST_REQUIRE(messages.messages_.size() == 1);
+    BOOST_TEST(messages.messages_[0].head_.target_ == target);
+    BOOST_TEST(messages.messages_[0].head_.headers_.find("X").value() == value);
+}
+
 // Guards against a peer that sends bytes without end where a line ends: nothing may be kept of them
 // beyond the limit of a head.
 BOOST_AUTO_TEST_CASE(linesWithoutEndAreRefusedAtTheLimit)
