Don't take a piece of an earlier answer for the one that is due

Cause: the piece and the next answer were read as one head; the id of the second stood for the status and the not-run field of the first.

Change: besides lines that are no fields, a head is refused with a status line in its reason or in a value, where the piece ended there. "Not run" is believed only with exactly one id, which is this request's, and without a seal; no answer is passed on without its id.

--- a/packages/qz_forward/requests/forwardattempt.cpp
+++ b/packages/qz_forward/requests/forwardattempt.cpp
@@ -48,7 +48,6 @@
     Forwarder &forwarder = request_.forwarder();
     connection_ = server_->takeIdleConnection(request_.isRepeatable(), startTime_);
     if (connection_ != nullptr) {
-        isConnectionReused_ = true;
         connection_->setListener(this);
         send();
         return;
--- a/packages/qz_forward/requests/forwardattempt.h
+++ b/packages/qz_forward/requests/forwardattempt.h
@@ -38,8 +38,6 @@
     bool hasResponseHead() const { return hasResponseHead_; }
     bool isHandedOver() const { return connection_ != nullptr && connection_->isHandedOver(); }
     bool isEnded() const { return isEnded_; }
-    /// Returns whether the connection carried another request before.
-    bool isConnectionReused() const { return isConnectionReused_; }
     std::size_t unsentBytes() const { return connection_->unsentBytes(); }
     Duration elapsed() const;
 
@@ -67,7 +65,6 @@
     bool hasResponseHead_ = false;
     bool isSkippingResponse_ = false;
     bool isBodyEnded_ = false; ///< The whole request has been given to the connection.
-    bool isConnectionReused_ = false;
     bool isEnded_ = false;
 };
 
--- a/packages/qz_forward/requests/forwardedrequest.cpp
+++ b/packages/qz_forward/requests/forwardedrequest.cpp
@@ -370,20 +370,25 @@
 {
     const ForwardHeaders &names = forwarder_.settings().headers_;
     const HttpHead &head = attempt.responseHead();
+    // Without exactly one id, which is then this request's, the answer may be that to another one.
+    const bool isOwn = requestId_.empty() || head.headers_.count(names.requestId_) == 1;
     const bool isMisdirected = head.status_ == statusMisdirectedRequest;
     if (isMisdirected || head.headers_.find(names.notRun_)) {
-        // On a used connection, a refusal without an id can be a copy of one to an earlier request.
-        if (attempt.isConnectionReused() && !head.headers_.find(names.requestId_)) {
+        // A server that did not run a request has signed no answer to it.
+        if (!isOwn || head.headers_.find(names.seal_)) {
             return AttemptResult::Cut;
         }
         return isMisdirected ? AttemptResult::WrongInstance : AttemptResult::Shed;
     }
+    if (!isOwn) {
+        return AttemptResult::Cut;
+    }
     if (head.status_ >= firstServerErrorStatus) {
         return AttemptResult::ServerError;
     }
     // A success without a signature or request id is not this server's response to this request.
     const bool isAuthentic =
-            head.headers_.find(names.seal_) && head.headers_.find(names.requestId_);
+            head.headers_.count(names.seal_) == 1 && head.headers_.find(names.requestId_);
     return head.status_ / 100 == successStatusClass && !isAuthentic ? AttemptResult::Cut
                                                                     : AttemptResult::Answered;
 }
--- a/packages/qz_forward/tests/forwardertest.cpp
+++ b/packages/qz_forward/tests/forwardertest.cpp
@@ -371,6 +371,56 @@
     }
 }
 
+// Guards against an order that runs twice, or is told as not run though it has run, because a piece
+// of an earlier refusal and the answer that is due are read as one.
+BOOST_AUTO_TEST_CASE(pieceOfAnEarlierAnswerAheadOfTheOneThatIsDueIsNotBelieved)
+{
+    const std::string refusal = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-Id: 0\r\n"
+                                "Content-Length: 0\r\n\r\n";
+    const std::string success =
+            "HTTP/1.1 200 OK\r\nX-Id: 0\r\nX-Seal: z\r\nContent-Length: 2\r\n\r\nzz";
+    const std::string conflict = "HTTP/1.1 409 Conflict\r\nX-Id: 1\r\nX-Seal: s\r\n"
+                                 "Content-Length: 2\r\n\r\nno";
+    const std::pair<std::string, std::string> pairs[] = { { refusal, successResponse },
+                                                          { success, conflict } };
+    for (const auto &[earlier, due] : pairs) {
+        for (std::size_t size = 1; size < earlier.size(); ++size) {
+            Fixture fixture;
+            fixture.setRoute(false, 80ms);
+            fixture.addServer("a", respondWith(earlier.substr(0, size) + due));
+            const RawServer &second = fixture.addServer("b", respondWith(successResponse));
+            const std::string response = fixture.sendRequest(100ms);
+            BOOST_TEST_INFO("bytes of the piece: " << size << " of " << earlier.substr(9, 3));
+            BOOST_TEST((statusOf(response) == 502 || statusOf(response) == 504));
+            BOOST_TEST(second.readCount() == 0);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(answerThatIsNotBeyondDoubtThatOfItsRequestIsNotBelieved)
+{
+    const std::string length = "Content-Length: 0\r\n\r\n";
+    const std::string notRun = "X-Not-Run: 1\r\n";
+    const std::string answers[] = {
+        "HTTP/1.1 503 Full\r\n" + notRun + length,
+        "HTTP/1.1 503 Full\r\nX-Id: 1\r\nX-Id: 1\r\n" + notRun + length,
+        "HTTP/1.1 503 Full\r\nX-Id: 1\r\nX-Seal: s\r\n" + notRun + length,
+        "HTTP/1.1 421 Other\r\n" + length,
+        "HTTP/1.1 409 Conflict\r\nX-Seal: s\r\n" + length,
+        "HTTP/1.1 500 Failed\r\nX-Seal: s\r\n" + length,
+        responseHead + "X-Seal: t\r\n" + length,
+    };
+    for (const std::string &answer : answers) {
+        Fixture fixture;
+        fixture.setRoute(false);
+        fixture.addServer("a", respondWith(answer));
+        const RawServer &second = fixture.addServer("b", respondWith(successResponse));
+        BOOST_TEST_INFO(answer);
+        BOOST_TEST(statusOf(fixture.sendRequest(100ms)) == 502);
+        BOOST_TEST(second.readCount() == 0);
+    }
+}
+
 // Guards against a request that is made out of the body of another one.
 BOOST_AUTO_TEST_CASE(requestWhoseLengthIsHiddenIsRejectedAndItsBodyIsNotRun)
 {
--- a/packages/qz_http/stream/httpstreamparser.cpp
+++ b/packages/qz_http/stream/httpstreamparser.cpp
@@ -32,12 +32,32 @@
 constexpr std::string_view lineEnd = "\r\n";
 constexpr std::string_view headEnd = "\r\n\r\n";
 constexpr std::string_view answerStart = "HTTP/1.";
+constexpr std::size_t statusDigits = 3;
 
 std::string_view toStd(boost::beast::string_view text)
 {
     return { text.data(), text.size() };
 }
 
+/// Returns whether @p text holds a status line, or the beginning of one up to its status.
+///
+/// A server that breaks off an answer and goes on with the next one on the same connection sends
+/// such a line in the middle of a head, whose fields are then those of two answers.
+bool hasStatusLine(std::string_view text)
+{
+    const auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
+    for (std::size_t at = text.find(answerStart); at != std::string_view::npos;
+         at = text.find(answerStart, at + 1)) {
+        const std::string_view rest = text.substr(at + answerStart.size());
+        const std::string_view status = rest.substr(std::min<std::size_t>(2, rest.size()));
+        if (rest.size() >= 2 + statusDigits && isDigit(rest[0]) && rest[1] == ' '
+            && std::all_of(status.begin(), status.begin() + statusDigits, isDigit)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /// Returns the number of the first line of @p head that begins with a blank, from 1 up, or 0.
 std::ptrdiff_t findFoldedLine(std::string_view head)
 {
@@ -82,17 +102,22 @@
         head_.isHttp11_ = version >= versionHttp11;
     }
 
-    void on_response_impl(int status, Text /*reason*/, int version, ErrorCode &error) override
+    void on_response_impl(int status, Text reason, int version, ErrorCode &error) override
     {
         if (status < firstStatus) {
             error = http::error::bad_status;
+        } else if (hasStatusLine(toStd(reason))) {
+            error = http::error::bad_reason;
         }
         head_.status_ = status;
         head_.isHttp11_ = version >= versionHttp11;
     }
 
-    void on_field_impl(http::field /*field*/, Text name, Text value, ErrorCode & /*error*/) override
+    void on_field_impl(http::field /*field*/, Text name, Text value, ErrorCode &error) override
     {
+        if (!isRequest && hasStatusLine(toStd(value))) {
+            error = http::error::bad_value;
+        }
         if (!isHeadDone_) {
             head_.headers_.add(std::string(toStd(name)), std::string(toStd(value)));
         }
--- a/packages/qz_http/tests/httpstreamparsertest.cpp
+++ b/packages/qz_http/tests/httpstreamparsertest.cpp
@@ -335,6 +335,28 @@
     BOOST_TEST(messages.messages_[0].head_.headers_.find("X").value() == value);
 }
 
+// Guards against one head made of two answers, of which the first was broken off.
+BOOST_AUTO_TEST_CASE(answerBehindAPieceOfAnotherOneIsRefused)
+{
+    const std::string first = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-Id: 1\r\n"
+                              "Content-Length: 5\r\n\r\n";
+    const std::string second =
+            "HTTP/1.1 200 OK\r\nX-Id: 2\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nok";
+    for (std::size_t size = 1; size < first.size(); ++size) {
+        for (const std::size_t step : steps) {
+            BOOST_TEST_INFO("bytes of the piece: " << size);
+            Messages answers(qz::HttpRole::Response);
+            BOOST_TEST(!answers.feed(first.substr(0, size) + second, step));
+            BOOST_TEST(answers.messages_.empty());
+        }
+    }
+    Messages others(qz::HttpRole::Response);
+    BOOST_TEST(others.feed("HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy, 1.1 other\r\n"
+                           "Upgrade: HTTP/2.0\r\nContent-Length: 0\r\n\r\n",
+                           1000));
+    BOOST_TEST(others.messages_.size() == 1);
+}
+
 // Guards against a peer that sends bytes without end where a line ends: nothing may be kept of them
 // beyond the limit of a head.
 BOOST_AUTO_TEST_CASE(linesWithoutEndAreRefusedAtTheLimit)
