End a request whose body never becomes whole, with an answer

A request whose first 64 KiB of body did not come was held without a time limit, a malformed body ended its connection without a word, and a head near a limit of over 64 KiB never fit into the input.

Change: a body that has not come 30 s after its head gets 408, which is true as nothing was passed on; a malformed one gets 400 before it is passed on and a line in the log in any case; the input has room for the greatest head.

bodyThatDoesNotComeInTimeEndsItsRequestAsNotRun, malformedBodyIsRefusedWithAnAnswer and headOfTheGreatestSizeIsTaken guard these. The first can't be built on the code before, which has no such limit.

--- a/packages/qz_core/errors/errorkind.cpp
+++ b/packages/qz_core/errors/errorkind.cpp
@@ -15,6 +15,7 @@
 constexpr std::array answers{
     ErrorAnswer{ ErrorKind::BadRequest, "bad-request", 400, notRun, false },
     ErrorAnswer{ ErrorKind::RequestTooLarge, "request-too-large", 413, notRun, false },
+    ErrorAnswer{ ErrorKind::RequestTimeout, "request-timeout", 408, notRun, false },
     ErrorAnswer{ ErrorKind::NoRoute, "no-route", 404, notRun, false },
     ErrorAnswer{ ErrorKind::IdempotencyKeyMissing, "idempotency-key-missing", 428, notRun, false },
     ErrorAnswer{ ErrorKind::Unauthorized, "unauthorized", 401, notRun, false },
--- a/packages/qz_core/errors/errorkind.h
+++ b/packages/qz_core/errors/errorkind.h
@@ -22,6 +22,7 @@
     // The caller's request.
     BadRequest,
     RequestTooLarge,
+    RequestTimeout,
     NoRoute,
     IdempotencyKeyMissing,
     Unauthorized,
--- a/packages/qz_http/stream/callerconnection.cpp
+++ b/packages/qz_http/stream/callerconnection.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr Duration silenceLimit = std::chrono::seconds(6); ///< Of a caller that vanished.
-/// Input held for one connection; the next head must fit.
+/// Input held for one connection, beside a head of the greatest size.
 constexpr std::size_t inputLimitBytes = std::size_t(64) * 1024;
 /// Body bytes held before the request is handed over, and later at most that many unread.
 constexpr std::size_t bodyBufferBytes = std::size_t(64) * 1024;
@@ -33,7 +33,7 @@
     setSilenceLimit(descriptor, silenceLimit);
     bufferevent_setcb(stream_, &CallerConnection::onRead, &CallerConnection::onWritten,
                       &CallerConnection::onEvent, this);
-    bufferevent_setwatermark(stream_, EV_READ, 0, inputLimitBytes);
+    bufferevent_setwatermark(stream_, EV_READ, 0, server.limits().headBytes_ + inputLimitBytes);
     bufferevent_enable(stream_, EV_READ | EV_WRITE);
 }
 
@@ -72,6 +72,12 @@
             && !hasUnreadBytes(bufferevent_getfd(stream_));
 }
 
+std::optional<TimePoint> CallerConnection::bodyAwaitedSince() const
+{
+    return exchange_ == nullptr || isHandedOver_ ? std::nullopt
+                                                 : std::optional(exchange_->arrivedAt());
+}
+
 void CallerConnection::finishExchange()
 {
     const bool isKept = isKeptAlive();
@@ -218,7 +224,8 @@
         }
         if (consumed.has_error()) {
             isParsing_ = false;
-            if (exchange_ != nullptr) {
+            if (isHandedOver_) {
+                server_.noteRefused(consumed.error());
                 loseCaller();
             } else {
                 refuse(consumed.error());
--- a/packages/qz_http/stream/callerconnection.h
+++ b/packages/qz_http/stream/callerconnection.h
@@ -6,6 +6,7 @@
 #include "qz_http/stream/httpstreamparser.h"
 
 #include <memory>
+#include <optional>
 #include <string_view>
 
 struct bufferevent;
@@ -38,7 +39,11 @@
     bool isIdle() const;
     bool isBusy() const { return exchange_ != nullptr; }
     TimePoint quietSince() const { return quietSince_; }
+    /// Returns since when the body of a request is awaited that has not been handed over, if any.
+    std::optional<TimePoint> bodyAwaitedSince() const;
     void close();
+    /// Answers with the status of @p error and closes the connection. Only while no request has
+    /// been handed over.
     void refuse(const Error &error);
 
 private:
--- a/packages/qz_http/stream/callerserver.cpp
+++ b/packages/qz_http/stream/callerserver.cpp
@@ -112,6 +112,13 @@
 {
     const TimePoint now = loop_.now();
     for (const auto &[key, connection] : connections_) {
+        if (connection->bodyAwaitedSince()) {
+            if (now - *connection->bodyAwaitedSince() > limits_.bodyTimeout_) {
+                connection->refuse(
+                        failure(ErrorKind::RequestTimeout, "the body did not come in time"));
+            }
+            continue;
+        }
         if (connection->isBusy() || connection->unsentBytes() > 0) {
             continue;
         }
--- a/packages/qz_http/stream/callerserver.h
+++ b/packages/qz_http/stream/callerserver.h
@@ -24,6 +24,8 @@
     std::uint64_t bodyBytes_ = std::uint64_t(64) * 1024 * 1024;
     Duration headTimeout_ = std::chrono::seconds(10); ///< From the first byte to a whole head.
     Duration idleTimeout_ = std::chrono::seconds(60); ///< Between two requests.
+    /// From a whole head until the request is handed over, with its body or the first part of it.
+    Duration bodyTimeout_ = std::chrono::seconds(30);
 };
 
 /// Accepts connections and hands each request to a handler once its body is whole, or more
--- a/packages/qz_http/tests/callerservertest.cpp
+++ b/packages/qz_http/tests/callerservertest.cpp
@@ -195,6 +195,49 @@
     BOOST_TEST(fixture.exchanges_.size() == 1);
 }
 
+// Guards against requests whose body never becomes whole and that are held for ever.
+BOOST_AUTO_TEST_CASE(bodyThatDoesNotComeInTimeEndsItsRequestAsNotRun)
+{
+    qz::CallerLimits limits;
+    limits.bodyTimeout_ = 200ms;
+    Fixture fixture(limits);
+    RawClient client(fixture.loop_, fixture.endpoint_);
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf");
+    client.awaitEnd();
+    BOOST_TEST(client.received().substr(0, 12) == "HTTP/1.1 408");
+    BOOST_TEST(client.hasEnded());
+    BOOST_TEST(fixture.exchanges_.empty());
+    client.close();
+    fixture.loop_.runFor(50ms);
+    BOOST_TEST(fixture.server_.connectionCount() == 0);
+}
+
+// Guards against a connection that ends without a word because its body is no proper one.
+BOOST_AUTO_TEST_CASE(malformedBodyIsRefusedWithAnAnswer)
+{
+    Fixture fixture;
+    RawClient client(fixture.loop_, fixture.endpoint_);
+    client.send(
+            "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello!!!\r\n");
+    client.awaitEnd();
+    BOOST_TEST(client.received().substr(0, 12) == "HTTP/1.1 400");
+    BOOST_TEST(fixture.exchanges_.empty());
+}
+
+// Guards against a head that is within its limit and never fits into the input.
+BOOST_AUTO_TEST_CASE(headOfTheGreatestSizeIsTaken)
+{
+    qz::CallerLimits limits;
+    limits.headBytes_ = std::size_t(200) * 1024;
+    Fixture fixture(limits);
+    fixture.handler_ = [&](const auto &exchange) { Fixture::answer(exchange, "ok"); };
+    RawClient client(fixture.loop_, fixture.endpoint_);
+    const std::string value(limits.headBytes_ - 100, 'x');
+    client.send("GET / HTTP/1.1\r\nHost: h\r\nX: " + value + "\r\n\r\n");
+    fixture.loop_.runFor(300ms);
+    BOOST_TEST(client.received().substr(0, 12) == "HTTP/1.1 200");
+}
+
 BOOST_AUTO_TEST_CASE(aStoppingServerAnswersAndEndsItsConnections)
 {
     Fixture fixture;
