Send pieces of earlier answers and odd codings in the soak

Its servers send pieces of earlier refusals and answers ahead of the next answer, and a part of the callers' bodies comes in chunks with the coding in four spellings. Each body that was run is compared with the one that was sent (UNASKED).

--- a/tests/soak/soakcallers.cpp
+++ b/tests/soak/soakcallers.cpp
@@ -4,6 +4,7 @@
 #include "platform/platformnames.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace qz::testing {
@@ -25,6 +26,12 @@
 constexpr Duration brokenOffMargin = 500ms;
 constexpr int gatewayTimeout = 504;
 
+/// Spellings of the field that says that a body comes in chunks.
+constexpr std::array<const char *, 4> codingFields{ "Transfer-Encoding: chunked",
+                                                    "Transfer-Encoding: CHUNKED",
+                                                    "transfer-encoding:\tchunked",
+                                                    "Transfer-Encoding: Chunked \t" };
+
 bool promisesNotRun(int status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
@@ -45,7 +52,11 @@
                            : isOnce_       ? std::string("/once/")
                                            : std::string("/safe/"))
                   + std::to_string(number))
-        , body_(isOnce_ && number % withBodyEvery == 0 ? std::string(100, 'b') : "")
+        , body_(isOnce_ && number % withBodyEvery == 0 ? "body of " + id_ : "")
+        , codingField_(
+                  number / (repeatableEvery * withBodyEvery) % 2 == 0
+                          ? ""
+                          : codingFields.at(static_cast<std::size_t>(number) % codingFields.size()))
         , sentAt_(callers.loop_.now())
         , connection_(callers.takeIdle(endpoint))
     {
@@ -61,6 +72,7 @@
     ~Call() override = default;
 
     const std::string &id() const { return id_; }
+    const std::string &body() const { return body_; }
     bool isOnce() const { return isOnce_; }
     const Endpoint &endpoint() const { return endpoint_; }
     TimePoint sentAt() const { return sentAt_; }
@@ -82,13 +94,17 @@
                 names.deadline_,
                 std::to_string(
                         std::chrono::duration_cast<std::chrono::milliseconds>(deadline).count()));
-        if (!body_.empty()) {
+        const bool isChunked = !body_.empty() && !codingField_.empty();
+        if (isChunked) {
+            // A line of its own: the field is written in one way only.
+            head.headers_.add("X-Spelling", "own\r\n" + codingField_);
+        } else if (!body_.empty()) {
             head.framing_ = BodyFraming::Length;
             head.length_ = body_.size();
         }
         wasSent_ = true;
         connection_->sendHead(head);
-        connection_->sendBody(body_);
+        connection_->sendBody(isChunked ? formatChunk(body_).append(lastChunk) : body_);
         connection_->endRequest();
     }
 
@@ -141,6 +157,7 @@
     const bool isOnce_;
     const std::string target_;
     const std::string body_;
+    const std::string codingField_; ///< Of a body in chunks; empty: it is sent with its length.
     const TimePoint sentAt_;
     std::unique_ptr<BackendConnection> connection_;
     HttpHead answerHead_;
@@ -184,7 +201,7 @@
     ++tally_.sent_;
     ledger_.retryBudget_.recordRequest(loop_.now());
     auto call = std::make_unique<Call>(*this, endpoint, ++lastNumber_);
-    requests_[call->id()] = { endpoint, loop_.now() };
+    requests_[call->id()] = { endpoint, loop_.now(), call->body() };
     if (call->isOnce()) {
         onceIds_.insert(call->id());
     }
@@ -291,6 +308,11 @@
         if (runs > 1 && onceIds_.count(id) > 0) {
             reporter_("TWICE: request " + id + " ran " + std::to_string(runs) + " times");
         }
+        const auto request = requests_.find(id);
+        const bool isProbe = id.rfind(probePrefix, 0) == 0;
+        if (request == requests_.end() ? !isProbe : ledger_.bodies_[id] != request->second.body_) {
+            reporter_("UNASKED: request " + id + " was not sent, or with another body");
+        }
         // A repeatable one may run at a server that was given up; its promise is checked alike.
         if (notRunIds_.count(id) > 0) {
             reporter_("REFUSED: request " + id + " was told as not run and has run");
--- a/tests/soak/soakcallers.h
+++ b/tests/soak/soakcallers.h
@@ -32,6 +32,9 @@
 class SoakCallers
 {
 public:
+    /// Of the ids of requests that are not of these callers and check an instance's configuration.
+    static constexpr const char *probePrefix = "probe-";
+
     /// Where the next request goes; empty host: nowhere.
     using AddressFinder = std::function<Endpoint()>;
     using Reporter = std::function<void(const std::string &violation)>;
@@ -50,7 +53,8 @@
     /// Requests sent since @p from that have ended, and those answered among them.
     std::pair<int, int> servedSince(TimePoint from) const;
 
-    /// Checks the ledger at the end: what must run at most once, or not at all.
+    /// Checks the ledger at the end: what must run at most once, or not at all, and with which
+    /// body.
     void checkLedger();
 
     /// When and where a request was sent.
@@ -58,6 +62,7 @@
     {
         Endpoint endpoint_;
         TimePoint sentAt_{};
+        std::string body_;
     };
     /// Returns nothing for an id that is not of these callers.
     std::optional<SentRequest> findRequest(const std::string &id) const;
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -417,7 +417,7 @@
         fault.stallShare_ = share;
         break;
     case 4:
-        fault.repeatShare_ = share;
+        (random_() % 2 == 0 ? fault.repeatShare_ : fault.pieceShare_) = share;
         break;
     default:
         fault.slowFactor_ = slow;
@@ -509,7 +509,7 @@
     request.target_ = target;
     request.headers_.add("Host", "h");
     request.headers_.add(platform::makeForwardHeaders().requestId_,
-                         "probe-" + std::to_string(++lastProbe_));
+                         SoakCallers::probePrefix + std::to_string(++lastProbe_));
     const int number = lastProbe_;
     auto &caller = probes_[number];
     caller = std::make_unique<HttpCaller>(loop_, endpoint, 500ms, 2s);
--- a/tests/soak/soakservers.cpp
+++ b/tests/soak/soakservers.cpp
@@ -159,6 +159,7 @@
     const std::string id =
             exchange->head().headers_.find(platform::makeForwardHeaders().requestId_).value_or("");
     ++ledger_.runs_[id];
+    ledger_.bodies_[id] = exchange->body();
     const std::string &target = exchange->head().target_;
     const bool isLong = target.rfind(longPrefix, 0) == 0;
     std::uniform_int_distribution<Duration::rep> work((isLong ? leastLongWork : leastWork).count(),
@@ -199,15 +200,27 @@
     }
 }
 
-void SoakServer::sendTwice(const std::shared_ptr<CallerExchange> &exchange, HttpHead head,
-                           const std::string &body)
+std::string SoakServer::makePiece(const std::string &id)
 {
+    const ForwardHeaders names = platform::makeForwardHeaders();
+    const bool isRefusal = random_() % 2 == 0;
+    HttpHead head;
+    head.status_ = isRefusal ? 503 : 200;
+    // Ahead of the id, so that a piece may hold it without the id.
+    head.headers_.add(isRefusal ? names.notRun_ : names.seal_, isRefusal ? "1" : makeSeal(id_, id));
+    head.headers_.add(names.requestId_, id);
     head.framing_ = BodyFraming::Length;
-    head.length_ = body.size();
+    const std::string text = formatResponseHead(head);
+    return text.substr(0, 1 + random_() % (text.size() - 1));
+}
+
+void SoakServer::sendWithSurplus(const std::shared_ptr<CallerExchange> &exchange,
+                                 const HttpHead &head, const std::string &body,
+                                 const std::string &surplus)
+{
     exchange->startReply(head);
     exchange->sendBody(body);
     // Until the exchange ends, further requests of the connection wait.
-    const std::string copy = formatResponseHead(head) + body;
     std::uniform_int_distribution<Duration::rep> delay(0, latestRepeat.count());
     const Duration first(delay(random_));
     const auto sendAfter = [this, exchange](Duration time, const std::string &part, bool isLast) {
@@ -221,8 +234,8 @@
             }
         });
     };
-    sendAfter(first, copy.substr(0, copy.size() / 2), false);
-    sendAfter(first + repeatPause, copy.substr(copy.size() / 2), true);
+    sendAfter(first, surplus.substr(0, surplus.size() / 2), false);
+    sendAfter(first + repeatPause, surplus.substr(surplus.size() / 2), true);
 }
 
 void SoakServer::finish(Run &run)
@@ -238,8 +251,12 @@
     const std::string id = exchange->head().headers_.find(names.requestId_).value_or("");
     HttpHead head = makeHead(200, id);
     head.headers_.add(names.seal_, makeSeal(id_, id));
-    if (draw(fault_.repeatShare_)) {
-        sendTwice(exchange, head, run.body_);
+    const bool isRepeated = draw(fault_.repeatShare_);
+    if (isRepeated || draw(fault_.pieceShare_)) {
+        head.framing_ = BodyFraming::Length;
+        head.length_ = run.body_.size();
+        sendWithSurplus(exchange, head, run.body_,
+                        isRepeated ? formatResponseHead(head) + run.body_ : makePiece(id));
         return;
     }
     const bool isTruncated = draw(fault_.truncateShare_);
--- a/tests/soak/soakservers.h
+++ b/tests/soak/soakservers.h
@@ -22,6 +22,8 @@
     }
 
     std::map<std::string, int> runs_;
+    /// The body with which a request was run last.
+    std::map<std::string, std::string> bodies_;
     /// Requests that arrived at a server that says in its answers that it leaves, by the server.
     std::map<std::string, std::vector<std::string>> arrivalsWhileLeaving_;
     RetryBudgetCheck retryBudget_;
@@ -35,6 +37,7 @@
     double truncateShare_ = 0.0; ///< Of answers that break off in the body.
     double stallShare_ = 0.0;    ///< Of answers that fall silent in the body.
     double repeatShare_ = 0.0;   ///< Of answers that are sent once more, a moment later.
+    double pieceShare_ = 0.0;    ///< Of answers after which a piece of an earlier one is sent.
     double slowFactor_ = 1.0;    ///< Of the time of its work.
 };
 
@@ -86,9 +89,12 @@
     void start(const std::shared_ptr<CallerExchange> &exchange);
     void finish(Run &run);
     void sendPiece(Run &run);
-    /// Sends the same answer twice on its connection, the second time late and in two parts.
-    void sendTwice(const std::shared_ptr<CallerExchange> &exchange, HttpHead head,
-                   const std::string &body);
+    /// Sends an answer, and late and in two parts @p surplus, which then stands ahead of the answer
+    /// to the next request of the connection.
+    void sendWithSurplus(const std::shared_ptr<CallerExchange> &exchange, const HttpHead &head,
+                         const std::string &body, const std::string &surplus);
+    /// A piece, of any size, of an earlier refusal or answer to request @p id.
+    std::string makePiece(const std::string &id);
     bool draw(double share);
     /// The head of an answer to request @p id, with what the server says of itself.
     HttpHead makeHead(int status, const std::string &id) const;
