Don't take a closed window for a silent host

Cause: TCP_USER_TIMEOUT runs from the first probe of a closed window, whatever the peer acknowledges. Ruled out: a time limit of ours. The try ends as "silent", which only the system's ETIMEDOUT gives, and tcp_info shows nothing unacknowledged and an acknowledgement 0.2 to 1.2 s ago.

Change: while a request is under way for over half of the limit and only the window holds its bytes back, the limit runs from the peer's last acknowledgement.

Result: serverThatReadsLateKeepsItsUpload (6 s) fails on the code before and passes.

--- a/packages/qz_http/stream/backendconnection.cpp
+++ b/packages/qz_http/stream/backendconnection.cpp
@@ -24,6 +24,10 @@
 constexpr int maxSkippedAnswers = 4;
 constexpr std::size_t maxSkippedBytes = std::size_t(1024) * 1024;
 constexpr std::size_t inputLimitBytes = std::size_t(256) * 1024;
+/// Parts of the limit of silence after which it is extended for the first time, and then again. Few
+/// requests last that long.
+constexpr int firstSilenceCheckPart = 2;
+constexpr int silenceCheckPart = 8;
 
 /// The "timeout" parameter of a Keep-Alive field; zero if there is none.
 Duration parseKeepAlive(const std::string &text)
@@ -76,6 +80,8 @@
     skippedBytes_ = 0;
     parser_.reset(head.method_ == "HEAD");
     sentFraming_ = head.framing_;
+    silenceTimer_ =
+            loop_.callAfter(silenceLimit_ / firstSilenceCheckPart, [this] { checkSilence(); });
     const std::string text = formatRequestHead(head);
     bufferevent_write(stream_, text.data(), text.size());
 }
@@ -199,6 +205,7 @@
         }
         if (parser_.hasEnded()) {
             idleSince_ = loop_.now();
+            silenceTimer_.reset();
             setReading(true); // Back pressure ends with the answer.
             listener_->takeAnswerEnd();
             return;
@@ -206,9 +213,16 @@
     }
 }
 
+void BackendConnection::checkSilence()
+{
+    extendSilenceLimit(bufferevent_getfd(stream_), silenceLimit_);
+    silenceTimer_ = loop_.callAfter(silenceLimit_ / silenceCheckPart, [this] { checkSilence(); });
+}
+
 void BackendConnection::fail(ErrorKind kind, const std::string &reason)
 {
     isFailed_ = true;
+    silenceTimer_.reset();
     bufferevent_disable(stream_, EV_READ | EV_WRITE);
     if (listener_ != nullptr) {
         listener_->takeFailure(failure(kind, reason + " (" + toString(server_) + ")"));
--- a/packages/qz_http/stream/backendconnection.h
+++ b/packages/qz_http/stream/backendconnection.h
@@ -90,12 +90,15 @@
     void takeEnd() override;
 
     void parseInput();
+    /// Lets the limit of silence run from the last sign of the server while it reads nothing.
+    void checkSilence();
     void fail(ErrorKind kind, const std::string &reason);
 
     EventLoop &loop_;
     const Endpoint server_;
     const Duration silenceLimit_;
     bufferevent *stream_;
+    Timers::HandlePtr silenceTimer_; ///< Set while a request is under way.
     HttpStreamParser parser_;
     BackendConnectionListener *listener_ = nullptr;
     BodyFraming sentFraming_ = BodyFraming::None;
--- a/packages/qz_http/stream/socketoptions.cpp
+++ b/packages/qz_http/stream/socketoptions.cpp
@@ -3,13 +3,14 @@
 
 #include "qz_core/logging/logger.h"
 
+#include <linux/tcp.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <optional>
 
 namespace qz {
 
@@ -26,6 +27,22 @@
     }
 }
 
+/// Returns the system's record of a connection that stands, or nothing if it has none.
+std::optional<tcp_info> readTcpInfo(int descriptor)
+{
+    static bool isSupported = true;
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (isSupported && getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        isSupported = errno != ENOPROTOOPT && errno != EOPNOTSUPP;
+        log(LogLevel::Warning, "socket-option-failed",
+            { { "option", TCP_INFO }, { "reason", std::strerror(errno) } });
+        return std::nullopt;
+    }
+    // Zero outside of TCP's states: nothing was written.
+    return info.tcpi_state == 0 ? std::nullopt : std::optional(info);
+}
+
 } // namespace
 
 void setSilenceLimit(int descriptor, Duration limit)
@@ -43,6 +60,25 @@
               static_cast<int>(duration_cast<milliseconds>(limit).count()));
 }
 
+void extendSilenceLimit(int descriptor, Duration limit)
+{
+    using std::chrono::milliseconds;
+    const auto info = readTcpInfo(descriptor);
+    if (!info) {
+        return;
+    }
+    // Everything that was sent is acknowledged, and the peer takes no more: it is probed.
+    const bool isWindowClosed = info->tcpi_unacked == 0 && info->tcpi_notsent_bytes > 0;
+    const auto answeredFor =
+            milliseconds(info->tcpi_last_data_sent) - milliseconds(info->tcpi_last_ack_recv);
+    const Duration extension = isWindowClosed && answeredFor > milliseconds::zero()
+            ? std::chrono::duration_cast<Duration>(answeredFor)
+            : Duration::zero();
+    setOption(
+            descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(std::chrono::duration_cast<milliseconds>(limit + extension).count()));
+}
+
 bool hasUnreadBytes(int descriptor)
 {
     char byte = 0;
--- a/packages/qz_http/stream/socketoptions.h
+++ b/packages/qz_http/stream/socketoptions.h
@@ -10,6 +10,11 @@
 /// sends small writes at once. A failed option is logged.
 void setSilenceLimit(int descriptor, Duration limit);
 
+/// To be called a few times within @p limit while a request is under way. A peer that has closed
+/// its window and acknowledges the probes of it is not silent: the limit then runs from its last
+/// acknowledgement. Otherwise it is the one that was set.
+void extendSilenceLimit(int descriptor, Duration limit);
+
 /// Returns whether bytes have arrived that were not read yet.
 bool hasUnreadBytes(int descriptor);
 
