Keep signals back until their handlers stand

signalThatArrivesBeforeItsHandlerIsHandledOnceReleased covers the holding; it can't be built on the code before.

--- a/apps/quetzaldaled/daemon.cpp
+++ b/apps/quetzaldaled/daemon.cpp
@@ -3,6 +3,7 @@
 
 #include "qz_core/ids/randomid.h"
 #include "qz_core/logging/logger.h"
+#include "qz_core/loop/heldsignals.h"
 
 #include <csignal>
 #include <utility>
@@ -146,7 +147,12 @@
     }
     handles_.push_back(
             loop_.onSignal(SIGUSR1, [this] { log(LogLevel::Info, "state-dump", dumpState()); }));
+    handles_.push_back(loop_.onSignal(SIGHUP, [] {
+        // Settings come from flags and the environment, which do not change while the process runs.
+        log(LogLevel::Info, "reload-ignored");
+    }));
     std::signal(SIGPIPE, SIG_IGN);
+    releaseSignals();
 }
 
 void Daemon::applyMembers()
--- a/apps/quetzaldaled/main.cpp
+++ b/apps/quetzaldaled/main.cpp
@@ -1,6 +1,7 @@
 // The program of the daemon: reads the settings, then runs one instance until it has stopped.
 #include "quetzaldaled/daemon.h"
 #include "quetzaldaled/serve/servedaemon.h"
+#include "qz_core/loop/heldsignals.h"
 
 #include <docopt/docopt.h>
 
@@ -133,6 +134,7 @@
 
 int main(int argc, char **argv)
 {
+    qz::holdSignals();
     const bool isServing = argc > 1 && std::string_view(argv[1]) == "serve";
     if (isServing) {
         const int status =
--- a/apps/quetzaldaled/serve/servedaemon.cpp
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -6,6 +6,7 @@
 #include "qz_core/faults/faultpoint.h"
 #include "qz_core/ids/randomid.h"
 #include "qz_core/logging/logger.h"
+#include "qz_core/loop/heldsignals.h"
 
 #include <algorithm>
 #include <csignal>
@@ -188,6 +189,7 @@
     handles_.push_back(
             loop_.onSignal(SIGUSR1, [this] { log(LogLevel::Info, "state-dump", dumpState()); }));
     std::signal(SIGPIPE, SIG_IGN);
+    releaseSignals();
 }
 
 void ServeDaemon::applyRoutes(const std::shared_ptr<const RoutingTable> &routes)
--- a/packages/qz_core/qz_core.h
+++ b/packages/qz_core/qz_core.h
@@ -12,6 +12,7 @@
 #include "qz_core/ids/randomid.h"
 #include "qz_core/logging/logger.h"
 #include "qz_core/loop/eventloop.h"
+#include "qz_core/loop/heldsignals.h"
 #include "qz_core/loop/timevalue.h"
 #include "qz_core/settings/settingsreader.h"
 #include "qz_core/time/clock.h"
--- a/packages/qz_core/tests/eventlooptest.cpp
+++ b/packages/qz_core/tests/eventlooptest.cpp
@@ -1,8 +1,11 @@
 // Tests of the event loop's timers.
 #include "qz_core/loop/eventloop.h"
+#include "qz_core/loop/heldsignals.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
+
 using namespace std::chrono_literals;
 
 BOOST_AUTO_TEST_CASE(timersRunInOrderOfTheirDelay)
@@ -41,3 +44,24 @@
     loop.runFor(30ms);
     BOOST_TEST(runs == 2);
 }
+
+// Guards against a signal at the start that ends the process because its handler does not stand
+// yet.
+BOOST_AUTO_TEST_CASE(signalThatArrivesBeforeItsHandlerIsHandledOnceReleased)
+{
+    for (const int number : { SIGHUP, SIGTERM, SIGINT, SIGUSR1 }) {
+        qz::holdSignals();
+        raise(number);
+        qz::EventLoop loop;
+        int handled = 0;
+        const auto handler = loop.onSignal(number, [&handled] { ++handled; });
+        loop.runFor(10ms);
+        BOOST_TEST(handled == 0);
+        qz::releaseSignals();
+        loop.runFor(10ms);
+        BOOST_TEST(handled == 1);
+        raise(number);
+        loop.runFor(10ms);
+        BOOST_TEST(handled == 2);
+    }
+}
