--- a/apps/quetzaldaled/serve/servedaemon.cpp
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -92,7 +92,7 @@
     presence_.setHealthReportHandler(
             [this](const HealthReportMessage &report) { applyHealthReport(report); });
     presence_.setServerStatementHandler(
-            [this](const ServerStatementMessage &report) { applyServerStatement(report); });
+            [this](const ServerStatementMessage &statement) { applyServerStatement(statement); });
     presence_.setVersionsProvider([this] { return replicas_.versions(); });
     presence_.setVersionsHandler([this](const InstanceId &from, const TableVersions &versions) {
         replicas_.requestNewerTables(from, versions);
@@ -218,17 +218,18 @@
     }
 }
 
-void ServeDaemon::applyServerStatement(const ServerStatementMessage &report)
+void ServeDaemon::applyServerStatement(const ServerStatementMessage &statement)
 {
-    if (report.isLeaving_) {
-        forwarder_.applyReportedLeaving(report.server_, report.incarnation_);
+    if (statement.isLeaving_) {
+        forwarder_.applyReportedLeaving(statement.server_, statement.incarnation_);
     }
-    const auto server = backends_.find(report.server_);
-    if (server == nullptr || server->listed().incarnation_ != report.incarnation_) {
+    const auto server = backends_.find(statement.server_);
+    if (server == nullptr || server->listed().incarnation_ != statement.incarnation_) {
         return;
     }
-    forwarder_.applyReportedLimit(
-            *server, report.isLimited_ ? std::optional(report.requestsPerSecond_) : std::nullopt);
+    forwarder_.applyReportedLimit(*server,
+                                  statement.isLimited_ ? std::optional(statement.requestsPerSecond_)
+                                                       : std::nullopt);
 }
 
 bool ServeDaemon::isReady() const
--- a/apps/quetzaldaled/serve/servedaemon.h
+++ b/apps/quetzaldaled/serve/servedaemon.h
@@ -39,7 +39,7 @@
     void watchSignals();
     void applyRoutes(const std::shared_ptr<const RoutingTable> &routes);
     void applyHealthReport(const HealthReportMessage &report);
-    void applyServerStatement(const ServerStatementMessage &report);
+    void applyServerStatement(const ServerStatementMessage &statement);
     bool isReady() const;
     void updateState();
     void updateRoles();
--- a/packages/qz_forward/backends/backend.cpp
+++ b/packages/qz_forward/backends/backend.cpp
@@ -30,8 +30,8 @@
 
 bool Backend::isOpen() const
 {
-    const bool mayLeave = listed_.isDraining_ || isLeaving_;
-    return isListed_ && (!mayLeave || isFaultInjected(FaultPoint::LeavingIgnored));
+    const bool isEnding = listed_.isDraining_ || isLeaving_;
+    return isListed_ && (!isEnding || isFaultInjected(FaultPoint::LeavingIgnored));
 }
 
 void Backend::startLeaving()
--- a/packages/qz_http/stream/httpstreamparser.cpp
+++ b/packages/qz_http/stream/httpstreamparser.cpp
@@ -25,8 +25,8 @@
 /// Interim answers (1xx) to one request; more come only from a server that never ends them.
 constexpr int maxInterimAnswers = 8;
 
-/// The size of the shortest end of a chunked body. Boost.Beast 1.74 asserts that it gets at least
-/// that much when it resumes at a chunk's head.
+/// The size of the shortest end of a chunked body. Boost.Beast 1.74 fails an assertion if it
+/// resumes within the last chunk with less.
 constexpr std::size_t minChunkedEndBytes = 5;
 
 constexpr std::string_view lineEnd = "\r\n";
@@ -39,10 +39,9 @@
     return { text.data(), text.size() };
 }
 
-/// Returns whether @p text holds a status line, or the beginning of one up to its status.
-///
-/// A server that breaks off an answer and goes on with the next one on the same connection sends
-/// such a line in the middle of a head, whose fields are then those of two answers.
+/// Returns whether @p text holds a status line, up to its status. In the middle of a head it shows
+/// that the server broke off one answer and went on with the next: the fields are then those of
+/// both.
 bool hasStatusLine(std::string_view text)
 {
     const auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
--- a/packages/qz_presence/exchange/presencedriver.cpp
+++ b/packages/qz_presence/exchange/presencedriver.cpp
@@ -104,13 +104,13 @@
     sendReport(receivers, MessageKind::HealthReport, packMessage(report));
 }
 
-void PresenceDriver::sendServerStatement(const ServerStatementMessage &report)
+void PresenceDriver::sendServerStatement(const ServerStatementMessage &statement)
 {
     auto receivers = directory_.domainPeers();
     for (InstanceRecord &remote : directory_.remoteEntries()) {
         receivers.push_back(std::move(remote));
     }
-    sendReport(receivers, MessageKind::ServerStatement, packMessage(report));
+    sendReport(receivers, MessageKind::ServerStatement, packMessage(statement));
 }
 
 void PresenceDriver::sendReport(const std::vector<InstanceRecord> &receivers, MessageKind kind,
--- a/packages/qz_presence/exchange/presencedriver.h
+++ b/packages/qz_presence/exchange/presencedriver.h
@@ -60,7 +60,7 @@
     }
     /// Sends a statement to all instances, since any instance may get requests of callers. The
     /// entry instances of other failure domains pass it on in their domain.
-    void sendServerStatement(const ServerStatementMessage &report);
+    void sendServerStatement(const ServerStatementMessage &statement);
 
 private:
     void announce();
