--- a/packages/qz_http/messages/httpmessages.cpp
+++ b/packages/qz_http/messages/httpmessages.cpp
@@ -1,7 +1,6 @@
 // Header fields.
 #include "qz_http/messages/httpmessages.h"
 
-#include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
 
 #include <strings.h>
@@ -38,7 +37,8 @@
     for (const HttpHeader &header : headers.all()) {
         if (equalsIgnoringCase(header.name_, "Connection")) {
             std::vector<std::string> listed;
-            boost::split(listed, header.value_, boost::is_any_of(", \t"));
+            boost::split(listed, header.value_,
+                         [](char c) { return c == ',' || c == ' ' || c == '\t'; });
             names.insert(names.end(), listed.begin(), listed.end());
         }
     }
