--- a/apps/quetzaldaled/tests/servepathtest.cpp
+++ b/apps/quetzaldaled/tests/servepathtest.cpp
@@ -5,7 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "platform/tests/fakestore.h"
-#include "testbed/daemonprocess.h"
+#include "quetzaldaled/tests/serveinstance.h"
 
 #include <algorithm>
 #include <csignal>
@@ -35,35 +35,6 @@
 "Version":"v","Zone":"d","Slots":4},"Status":{"State":"ready","Sequence":1,"ColdRemainingS":0}})";
 }
 
-/// The process of an instance, and the addresses at which it listens.
-struct Instance
-{
-    Instance(const std::string &name, const qz::Endpoint &store, const std::string &output)
-        : caller_{ "127.0.0.1", findFreePort() }
-        , directory_{ "127.0.0.1", findFreePort() }
-        , ready_{ "127.0.0.1", findFreePort() }
-        , metrics_{ "127.0.0.1", findFreePort() }
-        , peer_{ "127.0.0.1", findFreePort() }
-        , process_(QZ_DAEMON_PATH,
-                   { "serve", "--instance-id=" + name, "--region=r", "--failure-domain=d",
-                     "--failure-domains=d=r", "--instances-per-entry=2",
-                     "--caller-address=" + toString(caller_),
-                     "--directory-address=" + toString(directory_),
-                     "--ready-address=" + toString(ready_),
-                     "--metrics-address=" + toString(metrics_), "--peer-address=" + toString(peer_),
-                     "--store-address=" + toString(store) },
-                   { "QUETZALDALE_FLEET_KEY=a key of this test" }, output)
-    {
-    }
-
-    qz::Endpoint caller_;
-    qz::Endpoint directory_;
-    qz::Endpoint ready_;
-    qz::Endpoint metrics_;
-    qz::Endpoint peer_;
-    DaemonProcess process_;
-};
-
 /// A fake store, one backend server that answers after a delay, and some instances.
 class Fixture
 {
@@ -83,8 +54,8 @@
         store_.put(operatorTable, configKey, makeConfig("00000001", "/a/"));
         store_.put(backendTable, "b", makeBackend(backend_.endpoint()));
         for (int i = 0; i < instances; ++i) {
-            instances_.push_back(
-                    std::make_unique<Instance>("i" + std::to_string(i), store_.endpoint(), output));
+            instances_.push_back(std::make_unique<ServeInstance>("i" + std::to_string(i),
+                                                                 store_.endpoint(), output));
         }
     }
 
@@ -122,7 +93,7 @@
     }
 
     /// Runs the loop until the instance is ready. Returns false if that takes longer than @p limit.
-    bool awaitReady(const Instance &instance, qz::Duration limit = 5s)
+    bool awaitReady(const ServeInstance &instance, qz::Duration limit = 5s)
     {
         const auto end = loop_.now() + limit;
         while (loop_.now() < end) {
@@ -135,10 +106,10 @@
     }
 
     /// Runs the loop until the process has ended or @p limit has passed. Returns the elapsed time.
-    qz::Duration awaitEnd(Instance &instance, qz::Duration limit)
+    qz::Duration awaitEnd(ServeInstance &instance, qz::Duration limit)
     {
         const auto begin = loop_.now();
-        while (!instance.process_.hasEnded() && loop_.now() - begin < limit) {
+        while (!instance.process_->hasEnded() && loop_.now() - begin < limit) {
             loop_.runFor(20ms);
         }
         return loop_.now() - begin;
@@ -150,7 +121,7 @@
     int backendReads_ = 0;           ///< Number of requests that the backend server has received.
     std::vector<qz::Timers::HandlePtr> answers_;
     RawServer backend_;
-    std::vector<std::unique_ptr<Instance>> instances_;
+    std::vector<std::unique_ptr<ServeInstance>> instances_;
     std::string answerFields_; ///< Further fields of the backend server's answers.
 };
 
@@ -194,14 +165,14 @@
 BOOST_AUTO_TEST_CASE(gracefulStopCompletesRequestsInFlightAndEndsInTime)
 {
     Fixture fixture(2);
-    Instance &stopped = *fixture.instances_[0];
+    ServeInstance &stopped = *fixture.instances_[0];
     BOOST_REQUIRE(fixture.awaitReady(stopped));
     BOOST_REQUIRE(fixture.awaitReady(*fixture.instances_[1]));
     fixture.answerDelay_ = 1500ms;
     RawClient client(fixture.loop_, stopped.caller_);
     client.send("GET /a/x HTTP/1.1\r\nHost: h\r\nX-Quetzaldale-Attempt-Id: 1\r\n\r\n");
     fixture.loop_.runFor(200ms);
-    stopped.process_.send(SIGTERM);
+    stopped.process_->send(SIGTERM);
     fixture.loop_.runFor(200ms);
     BOOST_TEST(fixture.get(stopped.ready_, qz::platform::readyPath).first == 503);
     const auto names =
@@ -213,7 +184,7 @@
     BOOST_TEST(fixture.requestStatus(stopped.caller_, "/a/y") == 200);
     const qz::Duration stopTime = fixture.awaitEnd(stopped, 6s);
     BOOST_TEST(client.received().substr(0, 12) == "HTTP/1.1 200");
-    BOOST_TEST(stopped.process_.exitStatus() == 0);
+    BOOST_TEST(stopped.process_->exitStatus() == 0);
     BOOST_CHECK(stopTime < 4s);
 }
 
@@ -221,10 +192,10 @@
 BOOST_AUTO_TEST_CASE(stoppingInstanceRefusesLateCallersInsteadOfCuttingThem)
 {
     Fixture fixture(1);
-    Instance &stopped = *fixture.instances_[0];
+    ServeInstance &stopped = *fixture.instances_[0];
     BOOST_REQUIRE(fixture.awaitReady(stopped));
     fixture.answerDelay_ = 800ms;
-    stopped.process_.send(SIGTERM);
+    stopped.process_->send(SIGTERM);
     std::vector<std::unique_ptr<RawClient>> clients;
     const auto sending = fixture.loop_.callEvery(100ms, [&] {
         clients.push_back(std::make_unique<RawClient>(fixture.loop_, stopped.caller_));
@@ -241,7 +212,7 @@
         answered += status == "HTTP/1.1 200" ? 1 : 0;
         BOOST_TEST((status.empty() || status == "HTTP/1.1 200" || status == "HTTP/1.1 503"));
     }
-    BOOST_TEST(stopped.process_.exitStatus() == 0);
+    BOOST_TEST(stopped.process_->exitStatus() == 0);
     BOOST_TEST(accepted >= 30);
     BOOST_TEST(answered >= 27); // Those sent while callers may still use the address.
     BOOST_TEST(fixture.backendReads_ == answered);
@@ -252,7 +223,7 @@
 BOOST_AUTO_TEST_CASE(stoppingInstanceRejectsLateRequestsThatMayOutlastIt)
 {
     Fixture fixture(1);
-    Instance &stopped = *fixture.instances_[0];
+    ServeInstance &stopped = *fixture.instances_[0];
     BOOST_REQUIRE(fixture.awaitReady(stopped));
     const std::string request =
             "GET /a/x HTTP/1.1\r\nHost: h\r\nX-Quetzaldale-Attempt-Id: 1\r\n\r\n";
@@ -269,7 +240,7 @@
     fixture.loop_.runFor(1s);
     BOOST_TEST(fixture.backendReads_ == 20);
     clients.clear();
-    stopped.process_.send(SIGTERM);
+    stopped.process_->send(SIGTERM);
     RawClient kept(fixture.loop_, stopped.caller_);
     kept.send(request.substr(0, 10));
     fixture.loop_.runFor(2500ms);
@@ -284,7 +255,7 @@
         BOOST_TEST(client->received().substr(0, 12) == expected);
     }
     BOOST_TEST(fixture.backendReads_ == 21);
-    BOOST_TEST(stopped.process_.exitStatus() == 0);
+    BOOST_TEST(stopped.process_->exitStatus() == 0);
 }
 
 // Guards against requests that come late in the grace time, are passed on, and are cut at its end.
@@ -293,17 +264,17 @@
     for (const qz::Duration wait : { 2000ms, 2900ms }) {
         Fixture fixture(1);
         fixture.store_.put(operatorTable, configKey, makeConfig("00000002", "/a/", "4"));
-        Instance &stopped = *fixture.instances_[0];
+        ServeInstance &stopped = *fixture.instances_[0];
         BOOST_REQUIRE(fixture.awaitReady(stopped));
         fixture.answerDelay_ = 4s;
-        stopped.process_.send(SIGTERM);
+        stopped.process_->send(SIGTERM);
         RawClient early(fixture.loop_, stopped.caller_);
         early.send("GET /a/x HTTP/1.1\r\nHost: h\r\nX-Quetzaldale-Attempt-Id: 1\r\n\r\n");
         fixture.loop_.runFor(wait);
         BOOST_TEST(fixture.requestStatus(stopped.caller_, "/a/y") == 503);
         fixture.awaitEnd(stopped, 7s);
         BOOST_TEST(early.received().substr(0, 12) == "HTTP/1.1 200");
-        BOOST_TEST(stopped.process_.exitStatus() == 0);
+        BOOST_TEST(stopped.process_->exitStatus() == 0);
         BOOST_TEST(fixture.backendReads_ == 1);
     }
 }
@@ -314,25 +285,15 @@
     BOOST_REQUIRE(fixture.awaitReady(*fixture.instances_[0]));
     // The first run of this instance registers it in the store.
     fixture.instances_.push_back(
-            std::make_unique<Instance>("late", fixture.store_.endpoint(), "/dev/null"));
-    Instance &late = *fixture.instances_[1];
+            std::make_unique<ServeInstance>("late", fixture.store_.endpoint(), "/dev/null"));
+    ServeInstance &late = *fixture.instances_[1];
     BOOST_REQUIRE(fixture.awaitReady(late));
     fixture.loop_.runFor(1s);
     const qz::Endpoint caller = late.caller_;
-    late.process_.send(SIGKILL);
+    late.process_->send(SIGKILL);
     fixture.awaitEnd(late, 2s);
     fixture.store_.setFault(FakeStore::Fault::Refuses);
-    auto restarted = std::make_unique<DaemonProcess>(
-            QZ_DAEMON_PATH,
-            std::vector<std::string>{ "serve", "--instance-id=late", "--region=r",
-                                      "--failure-domain=d", "--failure-domains=d=r",
-                                      "--caller-address=" + toString(caller),
-                                      "--directory-address=" + toString(late.directory_),
-                                      "--ready-address=" + toString(late.ready_),
-                                      "--metrics-address=" + toString(late.metrics_),
-                                      "--peer-address=" + toString(late.peer_),
-                                      "--store-address=" + toString(fixture.store_.endpoint()) },
-            std::vector<std::string>{ "QUETZALDALE_FLEET_KEY=a key of this test" }, "/dev/null");
+    late.start();
     BOOST_TEST(fixture.awaitReady(late, 6s));
     BOOST_TEST(fixture.requestStatus(caller, "/a/x") == 200);
 }
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -3,7 +3,7 @@
 
 #include "platform/platformnames.h"
 #include "qz_http/stream/httpcaller.h"
-#include "qz_http/tests/rawsocket.h"
+#include "testbed/listenports.h"
 
 #include <nlohmann/json.hpp>
 
@@ -41,36 +41,12 @@
 constexpr double recoveredShare = 0.9;
 /// For callers' last requests to end.
 constexpr Duration endTime = 5500ms;
-/// Ports of instances, which must be free at each start: below those that the system gives to
-/// outgoing connections. Runs at the same time begin at different ones.
-constexpr int firstPort = 12000;
-constexpr int portsOfARun = 110;
-constexpr int portRuns = 180;
 constexpr int instanceFaults = 6; ///< Kinds of faults of an instance. @see disturb
 /// Time in which a series of faults begins, so that it ends with the other faults.
 constexpr Duration longestSeries = 2s;
 constexpr int notFound = 404;
 constexpr int unavailable = 503;
 
-bool isFree(std::uint16_t port)
-{
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in address = toAddress({ "127.0.0.1", port });
-    const bool isBound =
-            bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
-    evutil_closesocket(descriptor);
-    return isBound;
-}
-
-std::uint16_t takePort()
-{
-    static int next = firstPort + (getpid() % portRuns) * portsOfARun;
-    while (!isFree(static_cast<std::uint16_t>(next))) {
-        ++next;
-    }
-    return static_cast<std::uint16_t>(next++);
-}
-
 } // namespace
 
 struct SoakRun::Instance
@@ -81,7 +57,7 @@
         , storeRelay_(loop, store)
     {
         for (Endpoint *endpoint : { &caller_, &directory_, &ready_, &metrics_, &peer_ }) {
-            *endpoint = { "127.0.0.1", takePort() };
+            *endpoint = { "127.0.0.1", takeListenPort() };
         }
     }
 
