Quarantine requests under which backend servers end

Cause: nothing recognised two requests as the same, so each was placed as if it were the first, and its retry ended a second server.

Now a request has a fingerprint of method, host, target, caller and body. A server that refuses connections after the connection of a request broke, while another server takes one from here, or whose entry goes, has ended under it. After three servers the request is rejected at once as not run, at all instances, with the time to its next trial. Any answer clears it, and crashes that overlap count once, so that a popular request is not blamed for servers that end by themselves.

--- a/apps/quetzaldaled/serve/servedaemon.cpp
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -3,7 +3,9 @@
 
 #include "platform/decoding/directoryanswer.h"
 #include "platform/platformnames.h"
+#include "quetzaldaled/serve/crashreports.h"
 #include "qz_core/faults/faultpoint.h"
+#include "qz_core/hashing/rendezvous.h"
 #include "qz_core/ids/randomid.h"
 #include "qz_core/logging/logger.h"
 #include "qz_core/loop/heldsignals.h"
@@ -27,6 +29,9 @@
 /// reader of the store.
 constexpr Duration roleUpdatePeriod = 200ms;
 constexpr Duration stopCheckPeriod = 100ms;
+constexpr Duration crashReportPeriod = 5s;
+/// Requests in a crash report, which makes it a few kilobytes.
+constexpr std::size_t maxReportedRequests = 64;
 /// A connection that is quiet for this long is closed by a stop. The caller of a new one needs a
 /// moment to send its request.
 constexpr Duration stopQuietTime = 200ms;
@@ -86,6 +91,23 @@
         presence_.sendServerStatement({ server.listed().id_, server.listed().incarnation_,
                                         rate.has_value(), rate.value_or(0.0), server.isLeaving() });
     });
+    forwarder_.setCrashListener([this](const CrashHistory &history) {
+        presence_.sendCrashReport(makeCrashReport({ history }, loop_.now()));
+    });
+    forwarder_.setTrialTurnProvider([this](const RequestFingerprint &request, std::size_t turn) {
+        return isTrialTurn(request, turn);
+    });
+    presence_.setCrashReportHandler([this](const CrashReportMessage &report) {
+        for (const CrashHistory &history : readCrashReport(report, loop_.now())) {
+            forwarder_.applyReportedCrashes(history);
+        }
+    });
+    presence_.setInstanceHeardHandler([this](const InstanceId &instance) {
+        const auto histories = forwarder_.quarantine().latest(maxReportedRequests);
+        if (!histories.empty()) {
+            presence_.sendCrashReport(instance, makeCrashReport(histories, loop_.now()));
+        }
+    });
     forwarder_.setServerRoleProvider([this](const Backend &server) {
         return serverRoles_.find(server.listed().id_, server.listed().location_);
     });
@@ -113,6 +135,7 @@
     platform_.start();
     handles_.push_back(loop_.callEvery(roleUpdatePeriod, [this] { updateRoles(); }));
     handles_.push_back(loop_.callEvery(tickPeriod, [this] { tick(); }));
+    handles_.push_back(loop_.callEvery(crashReportPeriod, [this] { repeatCrashReport(); }));
     log(LogLevel::Info, "started",
         { { "settings", settings_.toJson() }, { "incarnation", incarnation_ } });
     loop_.run();
@@ -145,6 +168,7 @@
     forward.location_ = settings_.location_;
     forward.headers_ = platform::makeForwardHeaders();
     forward.retryBudget_ = settings_.retryBudget_;
+    forward.fingerprintSeed_ = rendezvousWeight("request fingerprints", settings_.fleetKey_);
     return forward;
 }
 
@@ -232,6 +256,27 @@
                                                        : std::nullopt);
 }
 
+void ServeDaemon::repeatCrashReport()
+{
+    const auto entries = directory_.entries(loop_.now());
+    const auto histories = forwarder_.quarantine().latest(maxReportedRequests);
+    if (!histories.empty() && !entries.empty() && entries.front().id_ == directory_.self().id_) {
+        presence_.sendCrashReport(makeCrashReport(histories, loop_.now()));
+    }
+}
+
+bool ServeDaemon::isTrialTurn(const RequestFingerprint &request, std::size_t turn) const
+{
+    std::vector<std::string> ids;
+    for (const auto &entries : { directory_.entries(loop_.now()), directory_.remoteEntries() }) {
+        for (const InstanceRecord &entry : entries) {
+            ids.push_back(entry.id_.value());
+        }
+    }
+    const auto order = rendezvousOrder(toString(request), std::move(ids));
+    return !order.empty() && order[turn % order.size()] == settings_.instanceId_.value();
+}
+
 bool ServeDaemon::isReady() const
 {
     return areBackendsLoaded_ && forwarder_.routes() != nullptr && !isStopping_;
--- a/apps/quetzaldaled/serve/servedaemon.h
+++ b/apps/quetzaldaled/serve/servedaemon.h
@@ -40,6 +40,11 @@
     void applyRoutes(const std::shared_ptr<const RoutingTable> &routes);
     void applyHealthReport(const HealthReportMessage &report);
     void applyServerStatement(const ServerStatementMessage &statement);
+    /// Sends what is known of requests that crash servers to all instances, now and then, so that
+    /// lost reports do no harm. One instance of each failure domain does so.
+    void repeatCrashReport();
+    /// Returns whether it is this instance's turn to send the trial of a quarantined request.
+    bool isTrialTurn(const RequestFingerprint &request, std::size_t turn) const;
     bool isReady() const;
     void updateState();
     void updateRoles();
--- a/apps/quetzaldaled/tests/servecrashtest.cpp
+++ b/apps/quetzaldaled/tests/servecrashtest.cpp
@@ -88,6 +88,15 @@
         loop_.runFor(1500ms); // Until the instances know each other.
     }
 
+    /// Runs the loop for @p time, whichever connections end meanwhile.
+    void runFor(qz::Duration time)
+    {
+        const auto end = loop_.now() + time;
+        while (loop_.now() < end) {
+            loop_.runFor(end - loop_.now());
+        }
+    }
+
     void awaitReady(const ServeInstance &instance)
     {
         for (int i = 0; i < 100; ++i) {
@@ -125,8 +134,20 @@
 
     void run(CrashingServer &server, const std::shared_ptr<qz::CallerExchange> &exchange)
     {
+        receive(server, exchange, "");
+    }
+
+    /// Waits until the body has arrived, of which @p body was taken, and answers or crashes.
+    void receive(CrashingServer &server, const std::shared_ptr<qz::CallerExchange> &exchange,
+                 std::string body)
+    {
+        body += exchange->takeBody();
+        if (!exchange->isBodyComplete() && exchange->isOpen()) {
+            later(5ms, [this, &server, exchange, body] { receive(server, exchange, body); });
+            return;
+        }
         const qz::HttpHead &head = exchange->head();
-        const bool isCrash = head.target_ == crashTarget_ && exchange->body() == crashBody_
+        const bool isCrash = head.target_ == crashTarget_ && body == crashBody_
                 && head.headers_.find("Authorization").value_or("") == crashCaller_;
         if (isCrash) {
             crashSends_.push_back(loop_.now());
@@ -193,10 +214,10 @@
         const auto end = loop_.now() + 6s;
         for (std::size_t i = 0; crashEnds_.size() < 3 && loop_.now() < end; ++i) {
             sendCrash(*instances_[i % instances_.size()]);
-            loop_.runFor(300ms);
+            runFor(300ms);
         }
         BOOST_REQUIRE(crashEnds_.size() >= 3);
-        loop_.runFor(stabilityWindow);
+        runFor(stabilityWindow);
     }
 
     ServeInstance &anyInstance() { return *instances_[random_() % instances_.size()]; }
@@ -242,9 +263,7 @@
                            fixture.loop_.now());
     });
     const auto end = begin + 12s;
-    while (fixture.loop_.now() < end) {
-        fixture.loop_.runFor(end - fixture.loop_.now()); // The end of a connection stops the loop.
-    }
+    fixture.runFor(12s);
     BOOST_REQUIRE(fixture.crashEnds_.size() >= 3);
     BOOST_TEST(fixture.crashSendsSince(fixture.crashEnds_[2] + stabilityWindow)
                <= allowedLaterSends);
@@ -286,7 +305,7 @@
     ServeInstance &restarted = *fixture.instances_[0];
     restarted.process_->send(SIGKILL);
     while (!restarted.process_->hasEnded()) {
-        fixture.loop_.runFor(20ms);
+        fixture.runFor(20ms);
     }
     restarted.start();
     fixture.awaitReady(restarted);
@@ -294,9 +313,9 @@
     std::vector<std::size_t> numbers;
     for (int i = 0; i < 10; ++i) {
         numbers.push_back(fixture.sendCrash(restarted));
-        fixture.loop_.runFor(100ms);
+        fixture.runFor(100ms);
     }
-    fixture.loop_.runFor(500ms);
+    fixture.runFor(500ms);
     BOOST_TEST(fixture.crashSendsSince(begin) == 0);
     for (const std::size_t number : numbers) {
         BOOST_TEST(fixture.statusOf(number) == 503);
@@ -317,7 +336,7 @@
     const std::size_t otherBody = fixture.send(instance, target, "Body", true, "one");
     const std::size_t otherCaller = fixture.send(instance, target, "body", true, "two");
     const std::size_t otherTarget = fixture.send(instance, target + "?x", "body", true, "one");
-    fixture.loop_.runFor(500ms);
+    fixture.runFor(500ms);
     BOOST_TEST(fixture.statusOf(rejected) == 503);
     BOOST_TEST(fixture.statusOf(otherBody) == status200);
     BOOST_TEST(fixture.statusOf(otherCaller) == status200);
@@ -325,6 +344,35 @@
     BOOST_TEST(fixture.crashSendsSince(begin) == 0);
 }
 
+// Guards against long bodies that are sent on before they can be told from others.
+BOOST_AUTO_TEST_CASE(longBodiesAreToldApartByTheirLastByte)
+{
+    Fixture fixture(2, 6, "unsafe");
+    fixture.crashBody_ = std::string(300000, 'x');
+    fixture.crashThreeServers();
+    const auto begin = fixture.loop_.now();
+    const ServeInstance &instance = *fixture.instances_[0];
+    std::vector<std::size_t> rejected;
+    std::vector<std::size_t> served;
+    for (const bool isChunked : { true, false }) {
+        rejected.push_back(
+                fixture.send(instance, fixture.crashTarget_, fixture.crashBody_, isChunked));
+        std::string other = fixture.crashBody_;
+        other.back() = 'y';
+        served.push_back(fixture.send(instance, fixture.crashTarget_, other, isChunked));
+        other += std::string(1500000, 'z'); // More than is held.
+        served.push_back(fixture.send(instance, fixture.crashTarget_, other, isChunked));
+    }
+    fixture.runFor(1s);
+    for (const std::size_t number : rejected) {
+        BOOST_TEST(fixture.statusOf(number) == 503);
+    }
+    for (const std::size_t number : served) {
+        BOOST_TEST(fixture.statusOf(number) == status200);
+    }
+    BOOST_TEST(fixture.crashSendsSince(begin) == 0);
+}
+
 // Guards against a popular request that is blamed for servers that end by themselves, some of them
 // at once.
 BOOST_AUTO_TEST_CASE(popularRequestAtServersThatEndByThemselvesIsServed)
@@ -342,11 +390,7 @@
             }
         }
     });
-    const auto end = fixture.loop_.now() + 8s;
-    while (fixture.loop_.now() < end) {
-        fixture.loop_.runFor(end - fixture.loop_.now());
-    }
-    fixture.loop_.runFor(10ms);
+    fixture.runFor(8s);
     int served = 0;
     int ended = 0;
     for (const std::size_t number : numbers) {
--- a/packages/qz_core/errors/errorkind.cpp
+++ b/packages/qz_core/errors/errorkind.cpp
@@ -29,6 +29,7 @@
     ErrorAnswer{ ErrorKind::GateUnreachable, "gate-unreachable", 503, notRun, true },
     ErrorAnswer{ ErrorKind::NotTheGate, "not-the-gate", 503, notRun, true },
     ErrorAnswer{ ErrorKind::Draining, "draining", 503, notRun, true },
+    ErrorAnswer{ ErrorKind::RequestQuarantined, "request-quarantined", 503, notRun, false },
     ErrorAnswer{ ErrorKind::BackendConnectFailed, "backend-connect-failed", 503, notRun, true },
     ErrorAnswer{ ErrorKind::BackendShed, "backend-shed", 503, notRun, true },
     ErrorAnswer{ ErrorKind::BackendTimeout, "backend-timeout", 504, unknown, false },
--- a/packages/qz_core/errors/errorkind.h
+++ b/packages/qz_core/errors/errorkind.h
@@ -37,6 +37,7 @@
     GateUnreachable,
     NotTheGate,
     Draining,
+    RequestQuarantined,
     // The backend exchange.
     BackendConnectFailed,
     BackendShed,
--- a/packages/qz_fleet/messages/messagekind.cpp
+++ b/packages/qz_fleet/messages/messagekind.cpp
@@ -29,6 +29,7 @@
     "table-version",
     "instance-list",
     "server-statement",
+    "crash-report",
 };
 
 } // namespace
--- a/packages/qz_fleet/messages/messagekind.h
+++ b/packages/qz_fleet/messages/messagekind.h
@@ -31,10 +31,11 @@
     TableVersion = 18,     ///< The sender has this version of a table.
     InstanceList = 19,     ///< The instances that the sender knows. @see PresenceDriver
     ServerStatement = 20,  ///< What a backend server says of itself in its responses.
+    CrashReport = 21,      ///< Requests under which backend servers have ended.
 };
 
 /// One more than the highest value of a kind.
-constexpr std::size_t messageKindEnd = 21;
+constexpr std::size_t messageKindEnd = 22;
 
 /// The kind with the value @p value on the wire, if there is one.
 std::optional<MessageKind> messageKindFromValue(std::uint64_t value);
--- a/packages/qz_forward/backends/backend.h
+++ b/packages/qz_forward/backends/backend.h
@@ -52,6 +52,8 @@
     bool isLeaving() const { return isLeaving_; }
     /// Marks the server as removed from the list and closes its idle connections.
     void close();
+    /// Returns whether this incarnation of the server is listed.
+    bool isListed() const { return isListed_; }
 
     ServerHealth &health() { return health_; }
     const ServerHealth &health() const { return health_; }
--- /dev/null
+++ b/packages/qz_forward/backends/connectcheck.cpp
@@ -0,0 +1,27 @@
+// One connection that carries no request.
+#include "qz_forward/backends/connectcheck.h"
+
+#include <utility>
+
+namespace qz {
+
+ConnectCheck::ConnectCheck(EventLoop &loop, const Endpoint &server, Duration limit, Handler handler)
+    : handler_(std::move(handler))
+    , connection_(std::make_unique<BackendConnection>(loop, server, limit))
+    , timer_(loop.callAfter(limit, [this] { finish(ConnectResult::TimedOut); }))
+{
+    connection_->setListener(this);
+}
+
+ConnectCheck::~ConnectCheck()
+{
+    connection_->setListener(nullptr);
+}
+
+void ConnectCheck::finish(ConnectResult result)
+{
+    const Handler handler = handler_; // The call may drop this object.
+    handler(result);
+}
+
+} // namespace qz
--- a/packages/qz_forward/observability/forwardmetrics.cpp
+++ b/packages/qz_forward/observability/forwardmetrics.cpp
@@ -38,6 +38,8 @@
     , configVersion_(makeGauge(registry_, "qz_config_version", "Version in force."))
     , backends_(makeGauge(registry_, "qz_backends", "Backend servers listed."))
     , connections_(makeGauge(registry_, "qz_caller_connections", "Open caller connections."))
+    , quarantinedRequests_(makeGauge(registry_, "qz_quarantined_requests",
+                                     "Requests that are rejected because they crash servers."))
 {
 }
 
@@ -80,6 +82,11 @@
     connections_.Set(count);
 }
 
+void ForwardMetrics::setQuarantinedRequests(double count)
+{
+    quarantinedRequests_.Set(count);
+}
+
 std::string ForwardMetrics::format() const
 {
     return prometheus::TextSerializer().Serialize(registry_.Collect());
--- a/packages/qz_forward/observability/forwardmetrics.h
+++ b/packages/qz_forward/observability/forwardmetrics.h
@@ -29,6 +29,7 @@
     void setConfigVersion(double version);
     void setBackendCount(double count);
     void setConnectionCount(double count);
+    void setQuarantinedRequests(double count);
 
     /// Returns all metrics in the Prometheus text format.
     std::string format() const;
@@ -43,6 +44,7 @@
     prometheus::Gauge &configVersion_;
     prometheus::Gauge &backends_;
     prometheus::Gauge &connections_;
+    prometheus::Gauge &quarantinedRequests_;
 };
 
 } // namespace qz
--- a/packages/qz_forward/requests/forwardattempt.h
+++ b/packages/qz_forward/requests/forwardattempt.h
@@ -32,6 +32,7 @@
     void setReading(bool isReading) { connection_->setReading(isReading); }
 
     Backend &server() const { return *server_; }
+    const std::shared_ptr<Backend> &sharedServer() const { return server_; }
     const Placement &placement() const { return placement_; }
     const HttpHead &responseHead() const { return responseHead_; }
     std::string &responseBody() { return responseBody_; }
--- a/packages/qz_forward/requests/forwardedrequest.cpp
+++ b/packages/qz_forward/requests/forwardedrequest.cpp
@@ -24,6 +24,11 @@
 constexpr int maxConnectFailures = 4;
 /// Unsent bytes of a body after which reading pauses for a slow receiver.
 constexpr std::size_t maxUnsentBytes = std::size_t(256) * 1024;
+/// Largest body that is held until it has arrived. @see needsWholeBody
+constexpr std::size_t maxAwaitedBodyBytes = std::size_t(1024) * 1024;
+/// A request that has ended so many servers is not sent to another one within one attempt of its
+/// caller.
+constexpr int maxCrashesForRetry = 1;
 /// Period of the checks whether an unanswered request is sent to a second server.
 constexpr Duration hedgingCheckPeriod = 20ms;
 /// Bounds of the Retry-After time.
@@ -83,11 +88,87 @@
     }
     forwarder_.allowance(service_).countRequest(forwarder_.loop().now());
     scheduleEnd();
+    isBodyAwaited_ = needsWholeBody();
+    if (!isBodyAwaited_) {
+        place();
+    }
+}
+
+void ForwardedRequest::place()
+{
+    if (isBodyStreamed_) {
+        bodyHasher_ = std::make_unique<RequestHasher>(makeHasher());
+        bodyHasher_->addBody(body_);
+    } else if (forwarder_.hasSuspectRequests()) {
+        const auto time = forwarder_.quarantineTime(*fingerprint());
+        if (time) {
+            quarantineTime_ = *time;
+            fail(failure(ErrorKind::RequestQuarantined, "servers ended during this request"));
+            return;
+        }
+    }
     if (!startNextAttempt()) {
         fail(failure(ErrorKind::NoBackendServer, "no backend server could answer in time"));
     }
 }
 
+bool ForwardedRequest::needsWholeBody() const
+{
+    return isBodyStreamed_ && forwarder_.quarantine().hasLongRequest(makeHasher().result().low_);
+}
+
+RequestHasher ForwardedRequest::makeHasher() const
+{
+    const HttpHead &head = exchange_->head();
+    RequestHasher hasher(forwarder_.settings().fingerprintSeed_);
+    hasher.addHeadPart(head.method_);
+    hasher.addHeadPart(route_->host_);
+    hasher.addHeadPart(head.target_);
+    hasher.addHeadPart(head.headers_.find(forwarder_.settings().headers_.caller_).value_or(""));
+    return hasher;
+}
+
+std::optional<RequestFingerprint> ForwardedRequest::fingerprint()
+{
+    if (!fingerprint_ && !isBodyStreamed_) {
+        RequestHasher hasher = makeHasher();
+        hasher.addBody(body_);
+        fingerprint_ = hasher.result();
+    } else if (!fingerprint_ && isRequestComplete()) {
+        fingerprint_ = bodyHasher_->result();
+    }
+    return fingerprint_;
+}
+
+int ForwardedRequest::crashCount()
+{
+    const auto request = forwarder_.hasSuspectRequests() ? fingerprint() : std::nullopt;
+    return request ? forwarder_.crashCount(*request) : 0;
+}
+
+void ForwardedRequest::recordBrokenConnection(const ForwardAttempt &attempt)
+{
+    const auto request = fingerprint();
+    if (!request) {
+        return;
+    }
+    const ListedBackend &server = attempt.server().listed();
+    const TimePoint now = forwarder_.loop().now();
+    CrashHistory crash;
+    crash.request_ = *request;
+    crash.longRequestHead_ = isBodyStreamed_ ? makeHasher().result().low_ : 0;
+    crash.crashes_.push_back({ server.id_, server.incarnation_, now - attempt.elapsed(), now });
+    forwarder_.recordBrokenConnection(attempt.sharedServer(), std::move(crash));
+}
+
+void ForwardedRequest::recordAnswered()
+{
+    const auto request = forwarder_.hasSuspectRequests() ? fingerprint() : std::nullopt;
+    if (request) {
+        forwarder_.recordAnswered(*request);
+    }
+}
+
 TimePoint ForwardedRequest::endTime() const
 {
     return std::min(deadline_, forwarder_.stopTime().value_or(deadline_));
@@ -176,6 +257,7 @@
     }
     std::string data = exchange_->takeBody();
     receivedBytes_ += data.size();
+    bodyHasher_->addBody(data);
     return data;
 }
 
@@ -193,7 +275,17 @@
         fail(failure(ErrorKind::RequestTooLarge, "the body is too large"));
         return;
     }
-    sendMoreBody();
+    if (!isBodyAwaited_ || isEnded_) {
+        sendMoreBody();
+        return;
+    }
+    body_ += exchange_->takeBody();
+    receivedBytes_ = body_.size();
+    isBodyStreamed_ = !exchange_->isBodyComplete();
+    isBodyAwaited_ = isBodyStreamed_ && body_.size() < maxAwaitedBodyBytes;
+    if (!isBodyAwaited_) {
+        place();
+    }
 }
 
 void ForwardedRequest::sendMoreBody()
@@ -343,7 +435,8 @@
     if (isEnded_ || streamingAttempt_ != nullptr || active == attempts_.end()) {
         return;
     }
-    const bool isStarted = shouldHedge(makeHedgingCandidate(**active)) && startRetry();
+    const bool isStarted =
+            crashCount() == 0 && shouldHedge(makeHedgingCandidate(**active)) && startRetry();
     if (!isStarted) {
         hedgingTimer_ = forwarder_.loop().callAfter(hedgingCheckPeriod, [this] { checkHedging(); });
     }
@@ -361,7 +454,8 @@
         return;
     }
     const bool isRetry = sentAttempts_ > 0;
-    if (!canRetry() || !(isRetry ? startRetry() : startNextAttempt())) {
+    if (!canRetry() || crashCount() > maxCrashesForRetry
+        || !(isRetry ? startRetry() : startNextAttempt())) {
         fail(error);
     }
 }
@@ -400,6 +494,7 @@
     }
     assert(streamingAttempt_ == nullptr || isStreaming(attempt));
     if (isStreaming(attempt)) {
+        recordAnswered();
         exchange_->endReply();
         endAttempt(attempt, AttemptResult::Answered, "streamed");
         finish("answered", attempt.responseHead().status_, "");
@@ -409,6 +504,7 @@
     const std::string status = std::to_string(attempt.responseHead().status_);
     switch (result) {
     case AttemptResult::Answered:
+        recordAnswered();
         sendResponse(attempt);
         return;
     case AttemptResult::ServerError:
@@ -444,6 +540,9 @@
     const AttemptResult sentResult =
             error.kind_ == ErrorKind::BackendTimeout ? AttemptResult::Silent : AttemptResult::Cut;
     endAttempt(attempt, isHandedOver ? sentResult : AttemptResult::ConnectFailed, error.message_);
+    if (error.kind_ == ErrorKind::BackendCut && isHandedOver) {
+        recordBrokenConnection(attempt);
+    }
     if (isStreaming(attempt)) {
         cutResponse(sentResult, error.message_);
         return;
@@ -584,8 +683,14 @@
     }
 }
 
-Duration ForwardedRequest::retryAfter()
+Duration ForwardedRequest::retryAfter(ErrorKind kind)
 {
+    if (kind == ErrorKind::Draining) {
+        return Duration::zero(); // Another instance takes the request at once.
+    }
+    if (kind == ErrorKind::RequestQuarantined) {
+        return quarantineTime_;
+    }
     Duration wait = minRetryAfter;
     if (route_ != nullptr) {
         wait = std::max({ wait, forwarder_.latency(service_, *route_).mean(),
@@ -623,10 +728,7 @@
     head.headers_.add("Quetzaldale-Cause", std::string(toString(kind)));
     constexpr int statusUnavailable = 503;
     if (head.status_ == statusUnavailable) {
-        // Another instance takes the request at once if this one stops.
-        const bool isStopping = kind == ErrorKind::Draining;
-        head.headers_.add("Retry-After",
-                          formatSeconds(isStopping ? Duration::zero() : retryAfter()));
+        head.headers_.add("Retry-After", formatSeconds(retryAfter(kind)));
     }
     const int status = head.status_;
     exchange_->reply(std::move(head), error.message_ + "\n");
@@ -669,6 +771,7 @@
               { "service", service_.value() },
               { "config_version", routes_ == nullptr ? 0 : routes_->version() },
               { "servers_listed", candidateServers_.size() },
+              { "fingerprint", fingerprint_ ? toString(*fingerprint_) : "" },
               { "tries", std::move(attemptLog_) },
               { "took_ms", toMilliseconds(elapsed) },
               { "status", status },
--- a/packages/qz_forward/requests/forwardedrequest.h
+++ b/packages/qz_forward/requests/forwardedrequest.h
@@ -67,6 +67,19 @@
     void takeDrained() override;
     void takeCallerGone() override;
 
+    /// Chooses a server for the request, whose fingerprint is known or does not matter.
+    void place();
+    /// Returns whether the whole body must arrive before the request can be placed, because only
+    /// the body can tell it from a request that crashes servers.
+    bool needsWholeBody() const;
+    RequestHasher makeHasher() const;
+    /// Returns the fingerprint, or nothing while a streamed body has not arrived.
+    std::optional<RequestFingerprint> fingerprint();
+    /// Returns the number of servers that this request has ended or may have ended, here or
+    /// elsewhere.
+    int crashCount();
+    void recordBrokenConnection(const ForwardAttempt &attempt);
+    void recordAnswered();
     bool findRoute();
     bool readDeadline();
     bool readRequestBody();
@@ -93,7 +106,7 @@
     void cutResponse(AttemptResult result, const std::string &cause);
     /// Sends the error to the caller, or cuts the response if it has begun.
     void fail(const Error &error);
-    Duration retryAfter();
+    Duration retryAfter(ErrorKind kind);
     bool hasActiveAttempt() const;
     void endAttempt(ForwardAttempt &attempt, AttemptResult result, const std::string &detail);
     void endActiveAttempts(AttemptResult result, const ForwardAttempt *except = nullptr);
@@ -109,6 +122,11 @@
     std::uint64_t receivedBytes_ = 0; ///< Size of the body received so far.
     /// The body arrives while it is sent, so the request cannot be sent a second time.
     bool isBodyStreamed_ = false;
+    bool isBodyAwaited_ = false; ///< The request is placed once its body has arrived.
+    /// Takes the body while it is streamed; null if the body is held.
+    std::unique_ptr<RequestHasher> bodyHasher_;
+    std::optional<RequestFingerprint> fingerprint_; ///< Once it was needed and known.
+    Duration quarantineTime_{ 0 };                  ///< If the request is quarantined.
     TimePoint deadline_;
     /// Open servers of the service when the latest attempt was started, in random order.
     std::vector<std::shared_ptr<Backend>> candidateServers_;
--- a/packages/qz_forward/requests/forwarder.cpp
+++ b/packages/qz_forward/requests/forwarder.cpp
@@ -38,6 +38,15 @@
     , backends_(backends)
     , metrics_(metrics)
     , unusedAllowance_(settings_.retryBudget_, loop.now())
+    , crashDetector_(
+              loop, settings_.connectTimeout_,
+              [this](const Backend &server) { return referenceServers(server); },
+              [this](const CrashHistory &crash) {
+                  applyCrashes(crash, "connections");
+                  if (crashListener_) {
+                      crashListener_(crash);
+                  }
+              })
     , random_(std::random_device{}())
 {
 }
@@ -284,6 +293,83 @@
     return last - now;
 }
 
+int Forwarder::crashCount(const RequestFingerprint &request) const
+{
+    return quarantine_.crashCount(request, crashDetector_.suspectedCrashes(request));
+}
+
+std::optional<Duration> Forwarder::quarantineTime(const RequestFingerprint &request)
+{
+    const auto hold = quarantine_.find(request, loop_.now());
+    if (!hold) {
+        return std::nullopt;
+    }
+    const bool isTrial = hold->untilTrial_ == Duration::zero()
+            && (!trialTurnProvider_ || trialTurnProvider_(request, hold->turn_));
+    if (!isTrial) {
+        return std::max(hold->untilTrial_, quarantine_.limits().trialTurn_);
+    }
+    quarantine_.recordTrial(request, loop_.now());
+    log(LogLevel::Info, "quarantine-trial", { { "fingerprint", toString(request) } });
+    return std::nullopt;
+}
+
+void Forwarder::recordBrokenConnection(const std::shared_ptr<Backend> &server, CrashHistory request)
+{
+    crashDetector_.observe(server, std::move(request));
+}
+
+std::vector<std::shared_ptr<Backend>> Forwarder::referenceServers(const Backend &server)
+{
+    constexpr std::size_t limit = 4;
+    std::vector<std::shared_ptr<Backend>> found;
+    for (const auto &[id, other] : backends_.all()) {
+        if (other.get() != &server && other->isOpen()
+            && other->health().state(loop_.now()) == ServerHealth::State::Good) {
+            found.push_back(other);
+        }
+    }
+    std::shuffle(found.begin(), found.end(), random_);
+    found.resize(std::min(found.size(), limit));
+    return found;
+}
+
+void Forwarder::recordAnswered(const RequestFingerprint &request)
+{
+    crashDetector_.dismiss(request);
+    CrashHistory answered;
+    answered.request_ = request;
+    answered.answeredAt_ = loop_.now();
+    if (quarantine_.crashCount(request) == 0) {
+        return;
+    }
+    applyCrashes(answered, "response");
+    if (crashListener_) {
+        crashListener_(answered);
+    }
+}
+
+void Forwarder::applyReportedCrashes(const CrashHistory &history)
+{
+    applyCrashes(history, "report");
+}
+
+void Forwarder::applyCrashes(const CrashHistory &history, std::string_view source)
+{
+    if (!quarantine_.merge(history, loop_.now())) {
+        return;
+    }
+    const auto hold = quarantine_.find(history.request_, loop_.now());
+    metrics_.setQuarantinedRequests(static_cast<double>(quarantine_.heldCount(loop_.now())));
+    log(LogLevel::Info, "request-crashes-changed",
+        { { "fingerprint", toString(history.request_) },
+          { "source", source },
+          { "server", history.crashes_.empty() ? "" : history.crashes_.back().server_.value() },
+          { "crashes", quarantine_.crashCount(history.request_) },
+          { "quarantined", hold.has_value() },
+          { "trial_in_ms", hold ? toMilliseconds(hold->untilTrial_) : 0 } });
+}
+
 void Forwarder::deleteLater(ForwardedRequest *request)
 {
     ended_.insert(request);
--- a/packages/qz_forward/requests/forwarder.h
+++ b/packages/qz_forward/requests/forwarder.h
@@ -4,6 +4,7 @@
 #include "qz_core/loop/eventloop.h"
 #include "qz_forward/backends/backendtable.h"
 #include "qz_forward/observability/forwardmetrics.h"
+#include "qz_forward/requests/crashdetector.h"
 #include "qz_forward/requests/forwardheaders.h"
 #include "qz_http/stream/callerexchange.h"
 #include "qz_placement/qz_placement.h"
@@ -35,6 +36,7 @@
     Duration silenceLimit_ = std::chrono::seconds(2);
     /// Time limit for opening a connection; on expiry the request goes to another server.
     Duration connectTimeout_ = std::chrono::milliseconds(300);
+    std::uint64_t fingerprintSeed_ = 0; ///< @see RequestHasher
 };
 
 /// Owns the requests in progress of one instance and the state that they share: the current
@@ -76,6 +78,23 @@
         statementListener_ = std::move(listener);
     }
 
+    /// Called when this instance has seen that a server crashed during a request, or that a request
+    /// under which servers crashed was answered.
+    using CrashListener = std::function<void(const CrashHistory &history)>;
+    void setCrashListener(CrashListener listener) { crashListener_ = std::move(listener); }
+
+    /// Returns whether this instance sends the trial of a quarantined request in a turn.
+    /// Without a provider it sends all trials. @see CrashQuarantine
+    using TrialTurnProvider =
+            std::function<bool(const RequestFingerprint &request, std::size_t turn)>;
+    void setTrialTurnProvider(TrialTurnProvider provider)
+    {
+        trialTurnProvider_ = std::move(provider);
+    }
+
+    /// Applies what another instance reported of a request.
+    void applyReportedCrashes(const CrashHistory &history);
+
     /// Applies the limit of @p server that another instance reported, or its end.
     void applyReportedLimit(Backend &server, std::optional<double> requestsPerSecond);
 
@@ -138,10 +157,24 @@
     /// rejected and as fast as the servers accept them.
     Duration reserveReturn(const ServiceId &service,
                            const std::vector<std::shared_ptr<Backend>> &servers, Duration limit);
+    const CrashQuarantine &quarantine() const { return quarantine_; }
+    /// Returns whether any request is suspected to crash servers, so that fingerprints matter.
+    bool hasSuspectRequests() const { return !quarantine_.isEmpty() || !crashDetector_.isEmpty(); }
+    /// Returns the number of servers that have ended under @p request, or may have.
+    int crashCount(const RequestFingerprint &request) const;
+    /// Returns the time after which a quarantined request may come back, or nothing if it may be
+    /// sent now.
+    std::optional<Duration> quarantineTime(const RequestFingerprint &request);
+    /// Records that the connection to @p server broke during a request.
+    void recordBrokenConnection(const std::shared_ptr<Backend> &server, CrashHistory request);
+    /// Records that a server answered a request, which therefore does not crash servers.
+    void recordAnswered(const RequestFingerprint &request);
     /// Deletes an ended request on the loop's next turn.
     void deleteLater(ForwardedRequest *request);
 
 private:
+    void applyCrashes(const CrashHistory &history, std::string_view source);
+    std::vector<std::shared_ptr<Backend>> referenceServers(const Backend &server);
     void logEjection(const Backend &server, std::string_view cause);
     /// Returns whether the limit has changed, or is to be reported again.
     bool recordNamedLimit(Backend &server, const HttpHead &head);
@@ -167,6 +200,10 @@
     HealthListener healthListener_;
     StatementListener statementListener_;
     ServerRoleProvider serverRoleProvider_;
+    CrashListener crashListener_;
+    TrialTurnProvider trialTurnProvider_;
+    CrashQuarantine quarantine_;
+    CrashDetector crashDetector_;
     std::mt19937_64 random_;
     std::map<ForwardedRequest *, std::unique_ptr<ForwardedRequest>> requests_;
     std::vector<ForwardedRequest *> deferred_; ///< Requests that have not been started.
--- a/packages/qz_forward/requests/forwardheaders.h
+++ b/packages/qz_forward/requests/forwardheaders.h
@@ -16,6 +16,7 @@
     /// In a response: requests per second that the server accepts from all instances together.
     std::string rateLimit_;
     std::string leaving_; ///< In a response: "1" if the server will stop soon.
+    std::string caller_;  ///< Names the caller that sends a request.
 };
 
 } // namespace qz
--- a/packages/qz_forward/tests/forwardertest.cpp
+++ b/packages/qz_forward/tests/forwardertest.cpp
@@ -121,8 +121,8 @@
     {
         qz::ForwardSettings settings;
         settings.location_ = { qz::RegionId("r"), qz::FailureDomainId("d") };
-        settings.headers_ = { "X-Id",   "X-Deadline", "X-Expect", "X-Not-Run",
-                              "X-Seal", "X-Limit",    "X-Leaving" };
+        settings.headers_ = { "X-Id",   "X-Deadline", "X-Expect",  "X-Not-Run",
+                              "X-Seal", "X-Limit",    "X-Leaving", "X-Caller" };
         settings.retryBudget_.slack_ = 10.0;
         settings.retryBudget_.window_ = 10ms;
         return settings;
@@ -1103,3 +1103,108 @@
     BOOST_TEST(contains(text, "qz_holds_total{service=\"service\"} 1"));
     BOOST_TEST(contains(text, "qz_request_seconds_bucket"));
 }
+
+namespace {
+
+/// Resets the connection of a request and accepts no further ones, as a process that crashes.
+RawServer::Script crashOnRead(Fixture &fixture, std::size_t number)
+{
+    return [&fixture, number](bufferevent *stream, int /*reads*/) {
+        fixture.servers_[number]->stopListening();
+        resetConnection(stream);
+    };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(serverThatAcceptsNoConnectionAfterARequestBrokeHasCrashed)
+{
+    Fixture fixture;
+    fixture.setRoute(false);
+    fixture.addServer("a", crashOnRead(fixture, 0));
+    fixture.addServer("b", respondWith(successResponse));
+    std::vector<qz::CrashHistory> told;
+    fixture.forwarder_.setCrashListener([&told](const auto &history) { told.push_back(history); });
+    BOOST_TEST(statusOf(fixture.sendRequest()) == 502);
+    BOOST_REQUIRE(told.size() == 1);
+    BOOST_REQUIRE(told[0].crashes_.size() == 1);
+    BOOST_TEST(told[0].crashes_[0].server_.value() == "a");
+    BOOST_TEST(fixture.forwarder_.quarantine().crashCount(told[0].request_) == 1);
+    // An answer clears the request.
+    BOOST_TEST(statusOf(fixture.sendRequest()) == 200);
+    BOOST_REQUIRE(told.size() == 2);
+    BOOST_TEST(told[1].answeredAt_.has_value());
+    BOOST_TEST(fixture.forwarder_.quarantine().isEmpty());
+}
+
+// Guards against requests that are blamed for servers that break connections and run on.
+BOOST_AUTO_TEST_CASE(serverThatResetsRequestsAndRunsOnHasNotCrashed)
+{
+    Fixture fixture;
+    fixture.setRoute(false);
+    fixture.addServer("a", resetOnRead);
+    fixture.addServer("b", resetOnRead);
+    for (int i = 0; i < 4; ++i) {
+        BOOST_TEST(statusOf(fixture.sendRequest()) == 502);
+    }
+    BOOST_TEST(!fixture.forwarder_.hasSuspectRequests());
+}
+
+// Guards against crashes that an instance infers from its own broken network.
+BOOST_AUTO_TEST_CASE(noServerHasCrashedWhileNoneCanBeReached)
+{
+    Fixture fixture;
+    fixture.setRoute(false);
+    fixture.addServer("a", crashOnRead(fixture, 0));
+    fixture.addServer("b", respondWith(successResponse)).stopListening();
+    BOOST_TEST(statusOf(fixture.sendRequest()) == 502);
+    BOOST_TEST(fixture.forwarder_.quarantine().isEmpty());
+    BOOST_TEST(fixture.forwarder_.hasSuspectRequests());
+    // The platform knows better.
+    fixture.backends_.remove(qz::BackendServerId("a"));
+    fixture.loop_.runFor(200ms);
+    BOOST_TEST(!fixture.forwarder_.quarantine().isEmpty());
+}
+
+BOOST_AUTO_TEST_CASE(quarantinedRequestIsRejectedAtOnceUntilItsTrial)
+{
+    Fixture fixture;
+    fixture.setRoute(true, 2s, 3);
+    qz::CrashHistory history;
+    fixture.addServer("a", crashOnRead(fixture, 0));
+    fixture.addServer("b", respondWith(successResponse));
+    fixture.forwarder_.setCrashListener([&history](const auto &told) { history = told; });
+    BOOST_TEST(statusOf(fixture.sendRequest()) == 200); // The retry; it clears the request.
+    BOOST_REQUIRE(!history.crashes_.empty() || history.answeredAt_);
+    const qz::TimePoint now = fixture.loop_.now();
+    history.answeredAt_.reset();
+    history.crashes_.clear();
+    for (int i = 0; i < 3; ++i) {
+        const qz::TimePoint at = now + i * 1ms;
+        history.crashes_.push_back({ qz::BackendServerId(std::to_string(i)), 1, at, at });
+    }
+    fixture.loop_.runFor(10ms);
+    fixture.forwarder_.applyReportedCrashes(history);
+    const int reads = fixture.servers_[1]->readCount();
+    const std::string response = fixture.sendRequest();
+    BOOST_TEST(statusOf(response) == 503);
+    BOOST_TEST(contains(response, "Quetzaldale-Outcome: not-run"));
+    BOOST_TEST(contains(response, "Retry-After: 29."));
+    BOOST_TEST(fixture.servers_[1]->readCount() == reads);
+}
+
+// Guards against a second server that gets a request before the end of the first two is understood.
+BOOST_AUTO_TEST_CASE(requestThatEndedTwoServersIsNotSentToAThirdInTheSameAttempt)
+{
+    Fixture fixture;
+    fixture.setRoute(true, 2s, 4);
+    for (std::size_t i = 0; i < 4; ++i) {
+        fixture.addServer(std::string(1, static_cast<char>('a' + i)), crashOnRead(fixture, i));
+    }
+    BOOST_TEST(statusOf(fixture.sendRequest()) == 502);
+    int reads = 0;
+    for (const auto &server : fixture.servers_) {
+        reads += server->readCount();
+    }
+    BOOST_TEST(reads == 2);
+}
--- a/packages/qz_http/tests/rawsocket.h
+++ b/packages/qz_http/tests/rawsocket.h
@@ -131,7 +131,7 @@
                 loop.base(), &RawServer::onAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
                 -1, reinterpret_cast<const sockaddr *>(&address), sizeof address);
     }
-    ~RawServer() { evconnlistener_free(listener_); }
+    ~RawServer() { stopListening(); }
     RawServer(const RawServer &) = delete;
     RawServer &operator=(const RawServer &) = delete;
 
@@ -144,6 +144,14 @@
         return { "127.0.0.1", ntohs(address.sin_port) };
     }
 
+    /// Refuses connections from now on.
+    void stopListening()
+    {
+        if (listener_ != nullptr) {
+            evconnlistener_free(std::exchange(listener_, nullptr));
+        }
+    }
+
     int connectionCount() const { return connections_; }
     int readCount() const { return reads_; }
     /// Returns all bytes received so far, of all connections.
--- a/packages/qz_placement/qz_placement.h
+++ b/packages/qz_placement/qz_placement.h
@@ -9,5 +9,6 @@
 #include "qz_placement/health/routelatency.h"
 #include "qz_placement/health/serverhealth.h"
 #include "qz_placement/limits/serverratelimit.h"
+#include "qz_placement/quarantine/crashquarantine.h"
 #include "qz_placement/retries/hedging.h"
 #include "qz_placement/retries/retryallowance.h"
--- a/packages/qz_presence/directory/instancedirectory.cpp
+++ b/packages/qz_presence/directory/instancedirectory.cpp
@@ -43,7 +43,7 @@
     } else if (isSame(found->second.record_, record)) {
         return false;
     }
-    found->second = KnownInstance{ record, now, {}, false };
+    found->second = KnownInstance{ record, now, {}, false, false };
     return true;
 }
 
@@ -52,15 +52,17 @@
     return others_.count(record.id_.value()) == 0 && addOrUpdate(record, now);
 }
 
-void InstanceDirectory::recordPresence(const InstanceId &id, const InstanceState &state,
+bool InstanceDirectory::recordPresence(const InstanceId &id, const InstanceState &state,
                                        TimePoint now)
 {
     const auto found = others_.find(id.value());
-    if (found != others_.end()) {
-        found->second.lastPresence_ = now;
-        found->second.state_ = state;
-        found->second.isLinkLost_ = false;
+    if (found == others_.end()) {
+        return false;
     }
+    found->second.lastPresence_ = now;
+    found->second.state_ = state;
+    found->second.isLinkLost_ = false;
+    return !std::exchange(found->second.isHeard_, true);
 }
 
 void InstanceDirectory::markLost(const InstanceId &id)
@@ -68,6 +70,7 @@
     const auto found = others_.find(id.value());
     if (found != others_.end()) {
         found->second.isLinkLost_ = true;
+        found->second.isHeard_ = false;
     }
 }
 
--- a/packages/qz_presence/directory/instancedirectory.h
+++ b/packages/qz_presence/directory/instancedirectory.h
@@ -72,8 +72,9 @@
     /// instances that know the same set.
     std::uint64_t digest() const { return digest_; }
 
-    /// Records a presence message of an instance.
-    void recordPresence(const InstanceId &id, const InstanceState &state, TimePoint now);
+    /// Records a presence message of an instance. Returns whether it is the first one from it, or
+    /// the first one since markLost().
+    bool recordPresence(const InstanceId &id, const InstanceState &state, TimePoint now);
     /// Marks an instance as not live, because its link was lost or it announced that it stops.
     void markLost(const InstanceId &id);
 
@@ -120,6 +121,7 @@
         TimePoint lastPresence_{}; ///< Arrival of the last presence message.
         InstanceState state_;
         bool isLinkLost_ = true;
+        bool isHeard_ = false; ///< A presence message has arrived since the link was lost.
     };
     bool isLiveInSameDomain(const KnownInstance &known, TimePoint now) const;
     /// The property of an instance of which more is preferred.
--- a/packages/qz_presence/exchange/presencedriver.cpp
+++ b/packages/qz_presence/exchange/presencedriver.cpp
@@ -32,6 +32,7 @@
     links_.setHandler(MessageKind::Presence, nullptr);
     links_.setHandler(MessageKind::HealthReport, nullptr);
     links_.setHandler(MessageKind::ServerStatement, nullptr);
+    links_.setHandler(MessageKind::CrashReport, nullptr);
     links_.setHandler(MessageKind::InstanceList, nullptr);
 }
 
@@ -49,6 +50,10 @@
                       [this](const InstanceId &from, std::string_view payload) {
                           receiveServerStatement(from, payload);
                       });
+    links_.setHandler(MessageKind::CrashReport,
+                      [this](const InstanceId &from, std::string_view payload) {
+                          receiveCrashReport(from, payload);
+                      });
     links_.setHandler(MessageKind::InstanceList,
                       [this](const InstanceId &from, std::string_view payload) {
                           receiveList(from, payload);
@@ -105,12 +110,35 @@
 }
 
 void PresenceDriver::sendServerStatement(const ServerStatementMessage &statement)
+{
+    sendToAll(MessageKind::ServerStatement, packMessage(statement));
+}
+
+void PresenceDriver::sendCrashReport(const CrashReportMessage &report)
+{
+    sendToAll(MessageKind::CrashReport, packMessage(report));
+}
+
+void PresenceDriver::sendCrashReport(const InstanceId &receiver, const CrashReportMessage &report)
+{
+    // A lost report is repeated with the next one to all instances.
+    (void)links_.send(receiver, MessageKind::CrashReport, packMessage(report));
+}
+
+void PresenceDriver::sendToAll(MessageKind kind, const std::string &message)
 {
     auto receivers = directory_.domainPeers();
     for (InstanceRecord &remote : directory_.remoteEntries()) {
         receivers.push_back(std::move(remote));
     }
-    sendReport(receivers, MessageKind::ServerStatement, packMessage(statement));
+    sendReport(receivers, kind, message);
+}
+
+void PresenceDriver::passOn(const InstanceId &from, MessageKind kind, std::string_view payload)
+{
+    if (!directory_.isInSameDomain(from)) {
+        sendReport(directory_.domainPeers(), kind, std::string(payload));
+    }
 }
 
 void PresenceDriver::sendReport(const std::vector<InstanceRecord> &receivers, MessageKind kind,
@@ -133,7 +161,11 @@
     }
     const PresenceMessage &presence = message.value();
     addInstances({ presence.sender_ });
-    directory_.recordPresence(from, { presence.isReady_, presence.isStoreLost_ }, loop_.now());
+    const bool isFirst = directory_.recordPresence(
+            from, { presence.isReady_, presence.isStoreLost_ }, loop_.now());
+    if (isFirst && instanceHeardHandler_) {
+        instanceHeardHandler_(from);
+    }
     compareKnownInstances(from, presence);
     if (versionsHandler_) {
         versionsHandler_(from, presence.versions_);
@@ -205,14 +237,25 @@
         log(LogLevel::Warning, "server-statement-malformed", { { "from", from.value() } });
         return;
     }
-    if (!directory_.isInSameDomain(from)) {
-        sendReport(directory_.domainPeers(), MessageKind::ServerStatement, std::string(payload));
-    }
+    passOn(from, MessageKind::ServerStatement, payload);
     if (serverStatementHandler_) {
         serverStatementHandler_(message.value());
     }
 }
 
+void PresenceDriver::receiveCrashReport(const InstanceId &from, std::string_view payload)
+{
+    const auto message = unpackMessage<CrashReportMessage>(payload);
+    if (message.has_error()) {
+        log(LogLevel::Warning, "crash-report-malformed", { { "from", from.value() } });
+        return;
+    }
+    passOn(from, MessageKind::CrashReport, payload);
+    if (crashReportHandler_) {
+        crashReportHandler_(message.value());
+    }
+}
+
 void PresenceDriver::updatePeers()
 {
     std::vector<Peer> peers;
--- a/packages/qz_presence/exchange/presencedriver.h
+++ b/packages/qz_presence/exchange/presencedriver.h
@@ -13,8 +13,9 @@
 namespace qz {
 
 /// Sends presence messages to all instances of the failure domain a few times a second, health
-/// reports to the entry instances of all failure domains, and statements of backend servers to all
-/// instances. Either may be lost; the receiver then learns the same by its own requests.
+/// reports to the entry instances of all failure domains, and statements of backend servers and
+/// crash reports to all instances. Each may be lost. The receiver then learns the same by its own
+/// requests; crash reports are repeated instead.
 ///
 /// Instances that start at the same time each find only some of the others in the store.
 /// Therefore two instances of a domain whose lists of known instances differ exchange them.
@@ -24,6 +25,10 @@
 public:
     using HealthReportHandler = std::function<void(const HealthReportMessage &)>;
     using ServerStatementHandler = std::function<void(const ServerStatementMessage &)>;
+    using CrashReportHandler = std::function<void(const CrashReportMessage &)>;
+    /// Called with an instance of this failure domain that was not heard of before, or not since
+    /// the link to it was lost.
+    using InstanceHeardHandler = std::function<void(const InstanceId &)>;
     using VersionsHandler = std::function<void(const InstanceId &, const TableVersions &)>;
 
     PresenceDriver(EventLoop &loop, PeerLinks &links, InstanceDirectory &directory);
@@ -62,8 +67,28 @@
     /// entry instances of other failure domains pass it on in their domain.
     void sendServerStatement(const ServerStatementMessage &statement);
 
+    void setCrashReportHandler(CrashReportHandler handler)
+    {
+        crashReportHandler_ = std::move(handler);
+    }
+    /// Sends a report to all instances, as sendServerStatement() does.
+    void sendCrashReport(const CrashReportMessage &report);
+    /// Sends a report to one instance of this failure domain.
+    void sendCrashReport(const InstanceId &receiver, const CrashReportMessage &report);
+
+    void setInstanceHeardHandler(InstanceHeardHandler handler)
+    {
+        instanceHeardHandler_ = std::move(handler);
+    }
+
 private:
     void announce();
+    /// Sends a message to all instances. The entry instances of other failure domains pass it on in
+    /// their domain. @see passOn
+    void sendToAll(MessageKind kind, const std::string &message);
+    /// Passes on a message that arrived from an instance of another failure domain.
+    void passOn(const InstanceId &from, MessageKind kind, std::string_view payload);
+    void receiveCrashReport(const InstanceId &from, std::string_view payload);
     void receivePresence(const InstanceId &from, std::string_view payload);
     void receiveHealthReport(const InstanceId &from, std::string_view payload);
     void receiveServerStatement(const InstanceId &from, std::string_view payload);
@@ -80,6 +105,8 @@
     InstanceDirectory &directory_;
     HealthReportHandler healthReportHandler_;
     ServerStatementHandler serverStatementHandler_;
+    CrashReportHandler crashReportHandler_;
+    InstanceHeardHandler instanceHeardHandler_;
     std::function<TableVersions()> versionsProvider_;
     VersionsHandler versionsHandler_;
     InstanceState state_;
--- a/packages/qz_presence/exchange/presencemessages.h
+++ b/packages/qz_presence/exchange/presencemessages.h
@@ -64,4 +64,36 @@
     MSGPACK_DEFINE(server_, incarnation_, isLimited_, requestsPerSecond_, isLeaving_)
 };
 
+/// The end of a backend server while it had a request. Times are told by their age.
+struct CrashMessage
+{
+    BackendServerId server_;
+    std::int64_t incarnation_ = 0; ///< Incarnation of the backend server.
+    Duration sinceSent_{};
+    Duration sinceEnd_{};
+
+    MSGPACK_DEFINE(server_, incarnation_, sinceSent_, sinceEnd_)
+};
+
+/// What the sender knows of one request under which backend servers have ended.
+struct CrashHistoryMessage
+{
+    std::uint64_t requestHigh_ = 0; ///< With requestLow_: fingerprint of the request.
+    std::uint64_t requestLow_ = 0;
+    std::uint64_t longRequestHead_ = 0;
+    std::vector<CrashMessage> crashes_;
+    bool isAnswered_ = false;
+    Duration sinceAnswer_{}; ///< Unused without an answer.
+
+    MSGPACK_DEFINE(requestHigh_, requestLow_, longRequestHead_, crashes_, isAnswered_, sinceAnswer_)
+};
+
+/// Reports requests that crash backend servers, or that were answered after all.
+struct CrashReportMessage
+{
+    std::vector<CrashHistoryMessage> histories_;
+
+    MSGPACK_DEFINE(histories_)
+};
+
 } // namespace qz
