--- a/tests/soak/soakservers.h
+++ b/tests/soak/soakservers.h
@@ -3,7 +3,7 @@
 
 #include "qz_http/stream/callerserver.h"
 #include "qz_placement/tests/retrybudgetcheck.h"
-#include "soak/relay.h"
+#include "testbed/relay.h"
 
 #include <map>
 #include <memory>
--- a/tests/soak/relay.cpp
+++ b/tests/testbed/relay.cpp
@@ -1,7 +1,8 @@
 // Pairs of connections and what happens to their bytes.
-#include "soak/relay.h"
+#include "testbed/relay.h"
 
 #include "qz_http/tests/rawsocket.h"
+#include "testbed/socketowner.h"
 
 #include <algorithm>
 #include <deque>
@@ -36,6 +37,7 @@
     Pair &operator=(const Pair &) = delete;
 
     Relay &relay_;
+    pid_t owner_ = 0; ///< Zero: none of those that are told apart.
     Way toServer_;
     Way toClient_;
 };
@@ -72,6 +74,32 @@
     }
 }
 
+void Relay::setModeFor(pid_t process, RelayMode mode)
+{
+    if (mode == RelayMode::Pass) {
+        processModes_.erase(process);
+        return;
+    }
+    processModes_[process] = mode;
+    if (mode == RelayMode::Reset) {
+        std::vector<Pair *> owned;
+        for (const auto &pair : pairs_) {
+            if (pair->owner_ == process) {
+                owned.push_back(pair.get());
+            }
+        }
+        for (Pair *pair : owned) {
+            drop(*pair, true);
+        }
+    }
+}
+
+RelayMode Relay::modeOf(pid_t process) const
+{
+    const auto found = processModes_.find(process);
+    return found == processModes_.end() ? mode_ : found->second;
+}
+
 void Relay::onAccept(evconnlistener * /*listener*/, int descriptor, sockaddr * /*address*/,
                      int /*length*/, void *self)
 {
@@ -86,8 +114,10 @@
         bufferevent_setcb(stream, &Relay::onRead, nullptr, &Relay::onEvent, pair.get());
         bufferevent_enable(stream, EV_READ | EV_WRITE);
     }
+    pair->owner_ = relay.processes_.empty() ? 0 : findSocketOwner(descriptor, relay.processes_);
+    const RelayMode mode = relay.modeOf(pair->owner_);
     relay.pairs_.push_back(std::move(pair));
-    if (relay.mode_ == RelayMode::Reset) {
+    if (mode == RelayMode::Reset || mode == RelayMode::ResetNew) {
         relay.drop(*relay.pairs_.back(), true);
         return;
     }
@@ -107,13 +137,14 @@
     Pair::Way &way = isToServer ? pair.toServer_ : pair.toClient_;
     evbuffer *input = bufferevent_get_input(way.from_);
     const RelayMode loses = isToServer ? RelayMode::LoseToServer : RelayMode::LoseToClient;
-    way.isLost_ = way.isLost_ || mode_ == loses || mode_ == RelayMode::Silent;
+    const RelayMode mode = modeOf(pair.owner_);
+    way.isLost_ = way.isLost_ || mode == loses || mode == RelayMode::Silent;
     if (way.isLost_) {
         evbuffer_drain(input, evbuffer_get_length(input));
         return;
     }
     // Bytes must not overtake those that are still delayed.
-    if (mode_ != RelayMode::Delay && way.delayed_.empty()) {
+    if (mode != RelayMode::Delay && way.delayed_.empty()) {
         evbuffer_add_buffer(bufferevent_get_output(way.to_), input);
         return;
     }
--- a/tests/soak/relay.h
+++ b/tests/testbed/relay.h
@@ -6,7 +6,11 @@
 
 #include <cstdint>
 #include <list>
+#include <map>
 #include <memory>
+#include <vector>
+
+#include <sys/types.h>
 
 struct evbuffer;
 struct bufferevent;
@@ -23,6 +27,7 @@
     LoseToServer, ///< Bytes to the server are lost.
     LoseToClient, ///< Bytes to the client are lost.
     Silent,       ///< Bytes are lost both ways.
+    ResetNew,     ///< New connections are reset; open ones live on.
 };
 
 /// Accepts connections and passes their bytes on to one server. A connection that has lost
@@ -43,6 +48,11 @@
     void setMode(RelayMode mode, Duration delay = Duration::zero());
     RelayMode mode() const { return mode_; }
 
+    /// Tells connections of these processes apart from now on. @see setModeFor
+    void setProcesses(std::vector<pid_t> processes) { processes_ = std::move(processes); }
+    /// Sets the mode for the connections of one process; RelayMode::Pass returns to that of all.
+    void setModeFor(pid_t process, RelayMode mode);
+
 private:
     struct Pair;
     static void onAccept(evconnlistener *listener, int descriptor, sockaddr *address, int length,
@@ -51,6 +61,7 @@
     static void onEvent(bufferevent *stream, short events, void *pair);
     void pass(Pair &pair, bool isToServer);
     void drop(Pair &pair, bool isReset);
+    RelayMode modeOf(pid_t process) const;
 
     EventLoop &loop_;
     const Endpoint server_;
@@ -59,6 +70,8 @@
     Duration delay_{ 0 };
     evconnlistener *listener_ = nullptr;
     std::list<std::unique_ptr<Pair>> pairs_;
+    std::vector<pid_t> processes_;
+    std::map<pid_t, RelayMode> processModes_; ///< Only modes other than RelayMode::Pass.
 };
 
 } // namespace qz::testing
