Count servers that end at the same moment as one crash

Callers saw: a popular request that was at a server as several ended together got 502. Its retry met a second one that had ended in the same moment, counted as the second crash in a row, and a third server was not tried.

--- a/packages/qz_placement/quarantine/crashquarantine.cpp
+++ b/packages/qz_placement/quarantine/crashquarantine.cpp
@@ -19,12 +19,14 @@
     return std::max(crash, history_.answeredAt_.value_or(crash));
 }
 
-int CrashQuarantine::countCrashes(const std::vector<ServerCrash> &crashes)
+int CrashQuarantine::countCrashes(const std::vector<ServerCrash> &crashes) const
 {
     int count = 0;
     TimePoint lastCounted{};
     for (const ServerCrash &crash : crashes) {
-        if (count == 0 || crash.sentAt_ >= lastCounted) {
+        const bool isApart = crash.sentAt_ >= lastCounted
+                && crash.endedAt_ - lastCounted >= limits_.minCrashInterval_;
+        if (count == 0 || isApart) {
             ++count;
             lastCounted = crash.endedAt_;
         }
--- a/packages/qz_placement/quarantine/crashquarantine.h
+++ b/packages/qz_placement/quarantine/crashquarantine.h
@@ -13,6 +13,8 @@
 struct QuarantineLimits
 {
     int crashes_ = 3; ///< Servers that end under a request before it is quarantined.
+    /// Servers that end within this time of each other ended for the same reason.
+    Duration minCrashInterval_ = std::chrono::milliseconds(20);
     /// Time from the crash that quarantines a request to its first trial. A request that was
     /// blamed wrongly is served again after it.
     Duration firstTrialDelay_ = std::chrono::seconds(30);
@@ -28,9 +30,9 @@
 /// Counts the backend servers that ended under each request, and quarantines a request after a few.
 ///
 /// A server may end by itself while it has sound requests. Therefore an answer to a request, seen
-/// by any instance, clears it, and of crashes that overlap only one counts: a popular request is
-/// under way at many servers that a power failure ends at once, whereas a request that crashes
-/// servers does so again each time it is sent.
+/// by any instance, clears it, and of crashes that overlap or come at once only one counts: a
+/// popular request is under way at many servers that a power failure ends together, whereas a
+/// request that crashes servers does so again each time it is sent.
 ///
 /// A quarantined request may be sent again as a trial, late and by one instance of the fleet at a
 /// time. Each crash in a trial makes the next one much rarer.
@@ -82,7 +84,7 @@
         TimePoint trialAt_; ///< Time of this instance's last trial.
         TimePoint lastEvent() const;
     };
-    static int countCrashes(const std::vector<ServerCrash> &crashes);
+    int countCrashes(const std::vector<ServerCrash> &crashes) const;
     Duration trialDelay(int count) const;
     static void addCrash(std::vector<ServerCrash> &crashes, const ServerCrash &crash);
     void forgetOld(TimePoint now);
