Compare the lists of known instances across failure domains

Instances that start together each find only some of the others in the store. Lists were compared within a failure domain only, so a domain could miss an instance of another one for good: in serve_cut_off one of two domains knew three of four instances, and had nobody to turn to while the others were cut off. Now one instance of each domain also sends its presence to one of each other domain.

--- a/packages/qz_presence/exchange/presencedriver.cpp
+++ b/packages/qz_presence/exchange/presencedriver.cpp
@@ -5,6 +5,7 @@
 #include "qz_fleet/messages/packing.h"
 
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace qz {
@@ -14,6 +15,9 @@
 /// Three periods fit into the silence limit after which an instance is no longer live.
 constexpr Duration announcePeriod = std::chrono::milliseconds(400);
 
+/// Announcements for each one that also goes to other failure domains.
+constexpr int remoteAnnouncementEvery = 5;
+
 /// Minimum time between two instance lists that an instance sends other than as a reply, whichever
 /// instances they go to. This allows one list per announcement.
 constexpr Duration minListInterval = announcePeriod;
@@ -98,6 +102,23 @@
         // A failed send needs no handling: the links reconnect by themselves.
         (void)links_.send(peer.id_, MessageKind::Presence, message);
     }
+    if (++announcements_ % remoteAnnouncementEvery == 0) {
+        announceToOtherDomains(message);
+    }
+}
+
+void PresenceDriver::announceToOtherDomains(const std::string &message)
+{
+    const auto entries = directory_.entries(loop_.now());
+    if (entries.empty() || entries.front().id_ != directory_.self().id_) {
+        return;
+    }
+    std::set<FailureDomainId> domains;
+    for (const InstanceRecord &remote : directory_.remoteEntries()) {
+        if (domains.insert(remote.location_.failureDomain_).second) {
+            (void)links_.send(remote.id_, MessageKind::Presence, message);
+        }
+    }
 }
 
 void PresenceDriver::sendHealthReport(const HealthReportMessage &report)
@@ -167,7 +188,7 @@
         instanceHeardHandler_(from);
     }
     compareKnownInstances(from, presence);
-    if (versionsHandler_) {
+    if (versionsHandler_ && directory_.isInSameDomain(from)) {
         versionsHandler_(from, presence.versions_);
     }
 }
--- a/packages/qz_presence/exchange/presencedriver.h
+++ b/packages/qz_presence/exchange/presencedriver.h
@@ -18,7 +18,8 @@
 /// requests; crash reports are repeated instead.
 ///
 /// Instances that start at the same time each find only some of the others in the store.
-/// Therefore two instances of a domain whose lists of known instances differ exchange them.
+/// Therefore two instances whose lists of known instances differ exchange them. One instance of
+/// each domain sends its presence messages, less often, to the other domains too.
 /// @see InstanceDirectory
 class PresenceDriver
 {
@@ -83,6 +84,9 @@
 
 private:
     void announce();
+    /// Sends a presence message to one instance of each other failure domain, if this instance is
+    /// the first entry instance of its own.
+    void announceToOtherDomains(const std::string &message);
     /// Sends a message to all instances. The entry instances of other failure domains pass it on in
     /// their domain. @see passOn
     void sendToAll(MessageKind kind, const std::string &message);
@@ -110,6 +114,7 @@
     std::function<TableVersions()> versionsProvider_;
     VersionsHandler versionsHandler_;
     InstanceState state_;
+    int announcements_ = 0;
     Timers::HandlePtr periodicTimer_;
     Timers::HandlePtr announceTimer_; ///< Set after an instance was added or its record changed.
     /// Time when this instance last sent its list other than as a reply.
