--- a/apps/quetzaldaled/serve/servedaemon.cpp
+++ b/apps/quetzaldaled/serve/servedaemon.cpp
@@ -5,6 +5,7 @@
 #include "platform/platformnames.h"
 #include "quetzaldaled/serve/crashreports.h"
 #include "qz_core/faults/faultpoint.h"
+#include "qz_core/hashing/hmac.h"
 #include "qz_core/hashing/rendezvous.h"
 #include "qz_core/ids/randomid.h"
 #include "qz_core/logging/logger.h"
@@ -12,6 +13,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <iomanip>
+#include <sstream>
 #include <utility>
 
 namespace qz {
@@ -50,6 +53,17 @@
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 
+/// Returns the text by which instances of one fleet know each other's requests.
+std::string makeFleetToken(const std::string &fleetKey)
+{
+    std::ostringstream token;
+    token << std::hex << std::setfill('0');
+    for (const char byte : hmacSha256(fleetKey, "quetzaldale request of an instance 1")) {
+        token << std::setw(2) << static_cast<int>(static_cast<unsigned char>(byte));
+    }
+    return token.str();
+}
+
 HttpHead makeHead(int status, const std::string &type)
 {
     HttpHead head;
@@ -168,6 +182,7 @@
     forward.location_ = settings_.location_;
     forward.headers_ = platform::makeForwardHeaders();
     forward.retryBudget_ = settings_.retryBudget_;
+    forward.fleetToken_ = makeFleetToken(settings_.fleetKey_);
     forward.fingerprintSeed_ = rendezvousWeight("request fingerprints", settings_.fleetKey_);
     return forward;
 }
@@ -287,7 +302,21 @@
     if (isReady()) {
         forwarder_.startDeferredRequests();
     }
-    presence_.setState({ isReady(), platform_.isStoreUnavailable() });
+    updatePresence();
+}
+
+void ServeDaemon::updatePresence()
+{
+    presence_.setState({ isReady() && !forwarder_.isCutOff(), platform_.isStoreUnavailable() });
+}
+
+void ServeDaemon::updatePeers()
+{
+    std::vector<RequestPeer> peers;
+    for (const InstanceRecord &record : directory_.requestPeers(loop_.now())) {
+        peers.push_back({ record.id_, record.callerEndpoint_, record.location_ });
+    }
+    forwarder_.setPeers(peers);
 }
 
 void ServeDaemon::updateRoles()
@@ -300,6 +329,8 @@
         candidates.push_back({ entry.id_, entry.location_ });
     }
     serverRoles_.setCandidates(std::move(candidates));
+    updatePeers();
+    updatePresence();
     updateRetrySlack();
     if (platform_.isInstanceReadEnded()) {
         platform_.setReaderIndex(directory_.readerIndex(loop_.now()));
@@ -392,6 +423,10 @@
     for (const InstanceRecord &entry : directory_.entries(loop_.now())) {
         addresses.push_back(entry.callerEndpoint_);
     }
+    if (addresses.empty() && isReady()) {
+        // All instances are cut off from the servers; one address is as good as another.
+        addresses.push_back(settings_.callerAddress_);
+    }
     if (addresses.empty()) {
         exchange->reply(makeHead(statusUnavailable, "text/plain"), "no instance is ready\n");
         return;
--- a/apps/quetzaldaled/serve/servedaemon.h
+++ b/apps/quetzaldaled/serve/servedaemon.h
@@ -46,6 +46,10 @@
     /// Returns whether it is this instance's turn to send the trial of a quarantined request.
     bool isTrialTurn(const RequestFingerprint &request, std::size_t turn) const;
     bool isReady() const;
+    /// Tells the other instances whether callers are to be sent here. They are not while this
+    /// instance reaches no server, although it serves those that come.
+    void updatePresence();
+    void updatePeers();
     void updateState();
     void updateRoles();
     /// Gives this instance its part of the slack of the retry budgets: the instances to which
--- a/apps/quetzaldaled/tests/servecutofftest.cpp
+++ b/apps/quetzaldaled/tests/servecutofftest.cpp
@@ -164,7 +164,14 @@
     /// Sends requests to all instances for @p time.
     void offerLoad(qz::Duration time)
     {
-        const auto sending = loop_.callEvery(20ms, [this] { send(random_() % 4); });
+        const auto end = loop_.now() + time;
+        auto next = loop_.now();
+        // Also in time if the loop is late.
+        const auto sending = loop_.callEvery(10ms, [this, end, &next] {
+            for (; next < std::min(end, loop_.now()); next += 20ms) {
+                send(random_() % 4);
+            }
+        });
         runFor(time);
     }
 
@@ -283,3 +290,59 @@
 {
     playCut({ 0, 1, 2 }, RelayMode::Reset);
 }
+
+// Guards against orders that run twice, or that are told as not run and run, because the instance
+// between them and the servers ends.
+BOOST_AUTO_TEST_CASE(ordersThroughInstancesThatAreKilledRunAtMostOnce)
+{
+    Fixture fixture;
+    fixture.workTime_ = 200ms;
+    fixture.offerLoad(1s);
+    fixture.setCut({ 0, 1 }, RelayMode::Silent);
+    for (int round = 0; round < 4; ++round) {
+        fixture.offerLoad(1500ms);
+        ServeInstance &peer = *fixture.instances_[round % 2 == 0 ? 2 : 3];
+        peer.process_->send(SIGKILL);
+        fixture.runFor(100ms);
+        peer.start();
+        fixture.updateProcesses();
+    }
+    fixture.offerLoad(1s);
+    fixture.runFor(4s);
+    fixture.checkPromises();
+    int served = 0;
+    for (const Sent &request : fixture.sent_) {
+        served += request.instance_ < 2 && request.status() == status200 ? 1 : 0;
+    }
+    BOOST_TEST(served >= 50);
+}
+
+// Guards against a planned stop, of either instance, that cuts requests which one passes to
+// another.
+BOOST_AUTO_TEST_CASE(stopsOfEitherInstanceCutNoRequestBetweenThem)
+{
+    Fixture fixture;
+    fixture.workTime_ = 300ms;
+    fixture.offerLoad(1s);
+    fixture.setCut({ 0, 1 }, RelayMode::Silent);
+    fixture.offerLoad(3s);
+    const auto begin = fixture.loop_.now();
+    fixture.instances_[2]->process_->send(SIGTERM);
+    fixture.offerLoad(500ms);
+    fixture.instances_[0]->process_->send(SIGTERM);
+    fixture.offerLoad(2s);
+    fixture.runFor(5s);
+    fixture.checkPromises();
+    BOOST_TEST(fixture.instances_[0]->process_->hasEnded());
+    BOOST_TEST(fixture.instances_[0]->process_->exitStatus() == 0);
+    BOOST_TEST(fixture.instances_[2]->process_->hasEnded());
+    int passedOn = 0;
+    for (std::size_t i = 0; i < fixture.sent_.size(); ++i) {
+        const Sent &request = fixture.sent_[i];
+        if (request.at_ >= begin - 300ms && fixture.runs_[std::to_string(i)] > 0) {
+            ++passedOn;
+            BOOST_TEST(request.status() == status200);
+        }
+    }
+    BOOST_TEST(passedOn >= 50);
+}
--- a/packages/qz_core/errors/errorkind.cpp
+++ b/packages/qz_core/errors/errorkind.cpp
@@ -26,6 +26,7 @@
     ErrorAnswer{ ErrorKind::DeadlineUnreachable, "deadline-unreachable", 503, notRun, false },
     ErrorAnswer{ ErrorKind::DeadlineExpiredInQueue, "deadline-expired", 504, notRun, false },
     ErrorAnswer{ ErrorKind::NoBackendServer, "no-backend-server", 503, notRun, false },
+    ErrorAnswer{ ErrorKind::ServersUnreachable, "servers-unreachable", 503, notRun, true },
     ErrorAnswer{ ErrorKind::GateUnreachable, "gate-unreachable", 503, notRun, true },
     ErrorAnswer{ ErrorKind::NotTheGate, "not-the-gate", 503, notRun, true },
     ErrorAnswer{ ErrorKind::Draining, "draining", 503, notRun, true },
--- a/packages/qz_core/errors/errorkind.h
+++ b/packages/qz_core/errors/errorkind.h
@@ -34,6 +34,7 @@
     DeadlineUnreachable,
     DeadlineExpiredInQueue,
     NoBackendServer,
+    ServersUnreachable,
     GateUnreachable,
     NotTheGate,
     Draining,
--- a/packages/qz_forward/backends/backend.h
+++ b/packages/qz_forward/backends/backend.h
@@ -15,7 +15,8 @@
 
 namespace qz {
 
-/// A backend server as the platform lists it.
+/// A backend server as the platform lists it, or another instance that passes requests on to
+/// servers.
 struct ListedBackend
 {
     BackendServerId id_;
@@ -27,6 +28,7 @@
     Endpoint endpoint_;
     Location location_;
     int slots_ = 1;            ///< Number of requests that the server processes concurrently.
+    bool isInstance_ = false;  ///< @see Forwarder::setPeers
     bool isDraining_ = false;  ///< The server will stop soon and must get no new requests.
     Duration coldRemaining_{}; ///< Time until the server has warmed up; it is slow until then.
 };
--- a/packages/qz_forward/backends/connectcheck.cpp
+++ b/packages/qz_forward/backends/connectcheck.cpp
@@ -13,13 +13,10 @@
     connection_->setListener(this);
 }
 
-ConnectCheck::~ConnectCheck()
-{
-    connection_->setListener(nullptr);
-}
-
 void ConnectCheck::finish(ConnectResult result)
 {
+    timer_.reset();
+    connection_.reset();
     const Handler handler = handler_; // The call may drop this object.
     handler(result);
 }
--- a/packages/qz_forward/backends/connectcheck.h
+++ b/packages/qz_forward/backends/connectcheck.h
@@ -23,7 +23,6 @@
     using Handler = std::function<void(ConnectResult)>;
 
     ConnectCheck(EventLoop &loop, const Endpoint &server, Duration limit, Handler handler);
-    ~ConnectCheck() override;
 
 private:
     void takeConnected() override { finish(ConnectResult::Accepted); }
@@ -35,7 +34,7 @@
     void finish(ConnectResult result);
 
     const Handler handler_;
-    std::unique_ptr<BackendConnection> connection_;
+    std::unique_ptr<BackendConnection> connection_; ///< Null once the result was told.
     Timers::HandlePtr timer_;
 };
 
--- a/packages/qz_forward/observability/forwardmetrics.cpp
+++ b/packages/qz_forward/observability/forwardmetrics.cpp
@@ -40,6 +40,8 @@
     , connections_(makeGauge(registry_, "qz_caller_connections", "Open caller connections."))
     , quarantinedRequests_(makeGauge(registry_, "qz_quarantined_requests",
                                      "Requests that are rejected because they crash servers."))
+    , lostPaths_(makeGauge(registry_, "qz_lost_service_paths",
+                           "Services whose servers this instance cannot reach."))
 {
 }
 
@@ -87,6 +89,11 @@
     quarantinedRequests_.Set(count);
 }
 
+void ForwardMetrics::setLostPaths(double count)
+{
+    lostPaths_.Set(count);
+}
+
 std::string ForwardMetrics::format() const
 {
     return prometheus::TextSerializer().Serialize(registry_.Collect());
--- a/packages/qz_forward/observability/forwardmetrics.h
+++ b/packages/qz_forward/observability/forwardmetrics.h
@@ -30,6 +30,7 @@
     void setBackendCount(double count);
     void setConnectionCount(double count);
     void setQuarantinedRequests(double count);
+    void setLostPaths(double count);
 
     /// Returns all metrics in the Prometheus text format.
     std::string format() const;
@@ -45,6 +46,7 @@
     prometheus::Gauge &backends_;
     prometheus::Gauge &connections_;
     prometheus::Gauge &quarantinedRequests_;
+    prometheus::Gauge &lostPaths_;
 };
 
 } // namespace qz
--- a/packages/qz_forward/requests/forwardattempt.cpp
+++ b/packages/qz_forward/requests/forwardattempt.cpp
@@ -48,6 +48,7 @@
     Forwarder &forwarder = request_.forwarder();
     connection_ = server_->takeIdleConnection(request_.isRepeatable(), startTime_);
     if (connection_ != nullptr) {
+        isNewConnection_ = false;
         connection_->setListener(this);
         send();
         return;
@@ -64,6 +65,7 @@
 void ForwardAttempt::takeConnected()
 {
     connectTimer_.reset();
+    request_.forwarder().recordConnected(*server_);
     if (!server_->isOpen()) {
         request_.handleAttemptFailure(
                 *this, failure(ErrorKind::BackendConnectFailed, "the server is leaving"));
@@ -101,6 +103,10 @@
         return;
     }
     if (id) {
+        request_.forwarder().recordAnswerHead(*server_, isNewConnection_);
+    }
+    // What a server says of itself is known to the instance that passed its answer on.
+    if (id && !server_->listed().isInstance_) {
         request_.forwarder().recordStatements(*server_, head);
     }
     removeFieldsOfConnection(head.headers_);
@@ -147,7 +153,8 @@
     connectTimer_.reset();
     server_->endRequest(startTime_);
     const bool isComplete = result == AttemptResult::Answered
-            || result == AttemptResult::ServerError || result == AttemptResult::Shed;
+            || result == AttemptResult::ServerError || result == AttemptResult::Shed
+            || result == AttemptResult::Unable;
     if (connection_ != nullptr && isComplete && isBodyEnded_) {
         server_->returnConnection(std::move(connection_));
     }
@@ -155,7 +162,13 @@
     if (result == AttemptResult::Silent || result == AttemptResult::ConnectFailed) {
         server_->closeIdleConnections();
     }
-    request_.forwarder().recordAttempt(*server_, result, elapsed(), request_.route());
+    // An instance is not to blame for what servers answer through it.
+    const bool isAnswerOfServer =
+            result == AttemptResult::ServerError || result == AttemptResult::Shed;
+    const AttemptResult recorded =
+            server_->listed().isInstance_ && isAnswerOfServer ? AttemptResult::Answered : result;
+    request_.forwarder().recordAttempt(*server_, recorded, elapsed(), request_.route(),
+                                       isNewConnection_);
 }
 
 } // namespace qz
--- a/packages/qz_forward/requests/forwardattempt.h
+++ b/packages/qz_forward/requests/forwardattempt.h
@@ -64,6 +64,7 @@
     HttpHead responseHead_;
     std::string responseBody_; ///< Empty once the response is streamed.
     bool hasResponseHead_ = false;
+    bool isNewConnection_ = true; ///< Not an idle one that carried requests before.
     bool isSkippingResponse_ = false;
     bool isBodyEnded_ = false; ///< The whole request has been given to the connection.
     bool isEnded_ = false;
--- a/packages/qz_forward/requests/forwardedrequest.cpp
+++ b/packages/qz_forward/requests/forwardedrequest.cpp
@@ -2,6 +2,7 @@
 #include "qz_forward/requests/forwardedrequest.h"
 
 #include "qz_core/faults/faultpoint.h"
+#include "qz_core/hashing/hmac.h"
 #include "qz_core/logging/logger.h"
 
 #include <algorithm>
@@ -22,6 +23,13 @@
 constexpr int successStatusClass = 2;
 /// Failed connection attempts after which a request is not retried.
 constexpr int maxConnectFailures = 4;
+/// Instances that may reply that they cannot reach the servers either.
+constexpr int maxUnablePeers = 4;
+/// Field of a request that one instance gives to another: the token of the fleet and the service.
+constexpr const char *peerField = "Quetzaldale-Instance-Request";
+// Fields of the answers that an instance gives by itself.
+constexpr const char *outcomeField = "Quetzaldale-Outcome";
+constexpr const char *causeField = "Quetzaldale-Cause";
 /// Unsent bytes of a body after which reading pauses for a slow receiver.
 constexpr std::size_t maxUnsentBytes = std::size_t(256) * 1024;
 /// Largest body that is held until it has arrived. @see needsWholeBody
@@ -81,12 +89,17 @@
     if (!findRoute() || !readDeadline() || !readRequestBody()) {
         return;
     }
-    service_ = forwarder_.chooseService(*route_);
+    isFromPeer_ = readSender();
+    if (!isFromPeer_) {
+        service_ = forwarder_.chooseService(*route_);
+    }
     if (!forwarder_.canEndBeforeStop(service_, *route_, deadline_)) {
         fail(failure(ErrorKind::Draining, "this instance stops before the request would end"));
         return;
     }
-    forwarder_.allowance(service_).countRequest(forwarder_.loop().now());
+    if (!isFromPeer_) {
+        forwarder_.allowance(service_).countRequest(forwarder_.loop().now());
+    }
     scheduleEnd();
     isBodyAwaited_ = needsWholeBody();
     if (!isBodyAwaited_) {
@@ -108,7 +121,10 @@
         }
     }
     if (!startNextAttempt()) {
-        fail(failure(ErrorKind::NoBackendServer, "no backend server could answer in time"));
+        const bool isPathLost = forwarder_.isPathLost(service_);
+        fail(isPathLost ? failure(ErrorKind::ServersUnreachable, "the servers cannot be reached")
+                        : failure(ErrorKind::NoBackendServer,
+                                  "no backend server could answer in time"));
     }
 }
 
@@ -149,10 +165,10 @@
 void ForwardedRequest::recordBrokenConnection(const ForwardAttempt &attempt)
 {
     const auto request = fingerprint();
-    if (!request) {
+    const ListedBackend &server = attempt.server().listed();
+    if (!request || server.isInstance_) {
         return;
     }
-    const ListedBackend &server = attempt.server().listed();
     const TimePoint now = forwarder_.loop().now();
     CrashHistory crash;
     crash.request_ = *request;
@@ -219,6 +235,23 @@
     return true;
 }
 
+bool ForwardedRequest::readSender()
+{
+    const auto value = exchange_->head().headers_.find(peerField);
+    const std::string &token = forwarder_.settings().fleetToken_;
+    if (!value || token.empty() || value->size() < token.size()
+        || !isEqualInConstantTime(value->substr(0, token.size()), token)) {
+        return false;
+    }
+    // The sender has divided its requests between the services of the route.
+    const std::string service = value->substr(token.size());
+    const auto share = std::find_if(
+            route_->shares_.begin(), route_->shares_.end(),
+            [&service](const auto &entry) { return entry.service_.value() == service; });
+    service_ = share == route_->shares_.end() ? forwarder_.chooseService(*route_) : share->service_;
+    return true;
+}
+
 bool ForwardedRequest::readRequestBody()
 {
     isBodyStreamed_ = !exchange_->isBodyComplete();
@@ -241,7 +274,12 @@
     const Duration left = endTime() - forwarder_.loop().now();
     head.headers_.set(names.deadline_,
                       std::to_string(std::max<std::int64_t>(1, toMilliseconds(left))));
-    head.headers_.set(names.expectServer_, server.listed().id_.value());
+    head.headers_.remove(peerField);
+    if (server.listed().isInstance_) {
+        head.headers_.set(peerField, forwarder_.settings().fleetToken_ + service_.value());
+    } else {
+        head.headers_.set(names.expectServer_, server.listed().id_.value());
+    }
     head.isKeptAlive_ = true;
     if (!isBodyStreamed_ && head.framing_ != BodyFraming::None) {
         head.framing_ = BodyFraming::Length;
@@ -310,7 +348,8 @@
         candidate.ejectedUntil_ = server->health().ejectedUntil();
         candidate.ejectedSince_ = server->health().ejectedSince();
         candidate.lastSent_ = server->lastSent();
-        candidate.serverRole_ = forwarder_.serverRole(*server);
+        candidate.serverRole_ =
+                server->listed().isInstance_ ? ServerRole::None : forwarder_.serverRole(*server);
         candidate.slots_ = server->listed().slots_;
         candidate.inFlight_ = server->inFlight();
         candidate.relativeLatency_ = server->health().relativeLatency();
@@ -369,16 +408,9 @@
 
 std::optional<Placement> ForwardedRequest::chooseServer()
 {
-    candidateServers_.clear();
-    for (const auto &server : forwarder_.backends().serversOf(service_)) {
-        if (server->isOpen()) {
-            forwarder_.ejectIfOverdue(*server, route_->isRepeatable_);
-            server->rateLimit().setRole(forwarder_.serverRole(*server), forwarder_.loop().now());
-            candidateServers_.push_back(server);
-        }
-    }
-    // A random order, so that not all instances prefer the same servers.
-    std::shuffle(candidateServers_.begin(), candidateServers_.end(), forwarder_.random());
+    candidateServers_ = isFromPeer_
+            ? forwarder_.candidatesForPeer(service_, route_->isRepeatable_)
+            : forwarder_.candidates(service_, route_->isRepeatable_, attempts_.empty());
     return choosePlacement(makeCandidates(), makePlacementRequest(),
                            forwarder_.settings().placement_, forwarder_.loop().now());
 }
@@ -396,8 +428,7 @@
     hedgingTimer_.reset();
     const auto active = std::count_if(attempts_.begin(), attempts_.end(),
                                       [](const auto &attempt) { return !attempt->isEnded(); });
-    if (!route_->isRepeatable_ || isBodyStreamed_
-        || sentAttempts_ + active >= route_->maxAttempts_) {
+    if (!route_->isRepeatable_ || isBodyStreamed_ || sentAttempts_ + active >= maxAttempts()) {
         return;
     }
     // No second attempt starts before the mean latency. @see shouldHedge
@@ -444,8 +475,8 @@
 
 bool ForwardedRequest::canRetry() const
 {
-    return !isEnded_ && sentAttempts_ < route_->maxAttempts_
-            && connectFailures_ < maxConnectFailures && !(isBodyStreamed_ && sentAttempts_ > 0);
+    return !isEnded_ && sentAttempts_ < maxAttempts() && connectFailures_ < maxConnectFailures
+            && unablePeers_ < maxUnablePeers && !(isBodyStreamed_ && sentAttempts_ > 0);
 }
 
 void ForwardedRequest::retryOrFail(const Error &error)
@@ -460,8 +491,40 @@
     }
 }
 
+std::optional<AttemptResult> ForwardedRequest::classifyPeerAnswer(
+        const ForwardAttempt &attempt) const
+{
+    const HttpHeaders &headers = attempt.responseHead().headers_;
+    const auto outcome = headers.find(outcomeField);
+    if (!attempt.server().listed().isInstance_ || !outcome) {
+        return std::nullopt;
+    }
+    if (*outcome != toString(Outcome::NotRun)) {
+        return AttemptResult::ServerError;
+    }
+    // A server has rejected it, which counts as an attempt.
+    const bool isShed = headers.find(causeField) == toString(ErrorKind::BackendShed);
+    return isShed ? AttemptResult::Shed : AttemptResult::Unable;
+}
+
+void ForwardedRequest::handleUnablePeer(ForwardAttempt &attempt)
+{
+    endAttempt(attempt, AttemptResult::Unable,
+               attempt.responseHead().headers_.find(causeField).value_or(""));
+    forwarder_.recordUnable(service_, attempt.server());
+    ++unablePeers_;
+    if (!isBodyStreamed_) {
+        --sentAttempts_; // No server got it.
+    }
+    retryOrFail(failure(ErrorKind::ServersUnreachable, "no instance reaches the servers"));
+}
+
 AttemptResult ForwardedRequest::classify(const ForwardAttempt &attempt) const
 {
+    const auto peerAnswer = classifyPeerAnswer(attempt);
+    if (peerAnswer) {
+        return *peerAnswer;
+    }
     const ForwardHeaders &names = forwarder_.settings().headers_;
     const HttpHead &head = attempt.responseHead();
     // Without exactly one id, which is then this request's, the answer may be that to another one.
@@ -515,6 +578,9 @@
         }
         sendResponse(attempt);
         return;
+    case AttemptResult::Unable:
+        handleUnablePeer(attempt);
+        return;
     case AttemptResult::Shed:
     case AttemptResult::WrongInstance:
         endAttempt(attempt, result, status);
@@ -568,7 +634,7 @@
     streamingAttempt_ = &attempt;
     hedgingTimer_.reset();
     endActiveAttempts(AttemptResult::Overtaken, &attempt);
-    HttpHead head = attempt.responseHead();
+    HttpHead head = makeResponseHead(attempt);
     if (head.framing_ == BodyFraming::UntilClose) {
         head.framing_ = BodyFraming::Chunked;
     }
@@ -576,6 +642,17 @@
     return true;
 }
 
+HttpHead ForwardedRequest::makeResponseHead(const ForwardAttempt &attempt) const
+{
+    HttpHead head = attempt.responseHead();
+    if (!classifyPeerAnswer(attempt)) {
+        // Only instances make promises by these fields.
+        head.headers_.remove(outcomeField);
+        head.headers_.remove(causeField);
+    }
+    return head;
+}
+
 void ForwardedRequest::streamResponse(ForwardAttempt &attempt, std::string_view data)
 {
     streamedBytes_ += data.size();
@@ -594,7 +671,7 @@
 
 void ForwardedRequest::sendResponse(ForwardAttempt &attempt)
 {
-    HttpHead head = attempt.responseHead();
+    HttpHead head = makeResponseHead(attempt);
     const int status = head.status_;
     if (head.framing_ == BodyFraming::None) {
         exchange_->startReply(std::move(head));
@@ -723,9 +800,9 @@
     }
     HttpHead head;
     head.status_ = answerOf(kind).httpStatus_;
-    head.headers_.add("Quetzaldale-Outcome",
+    head.headers_.add(outcomeField,
                       std::string(toString(isNotRun ? Outcome::NotRun : Outcome::Unknown)));
-    head.headers_.add("Quetzaldale-Cause", std::string(toString(kind)));
+    head.headers_.add(causeField, std::string(toString(kind)));
     constexpr int statusUnavailable = 503;
     if (head.status_ == statusUnavailable) {
         head.headers_.add("Retry-After", formatSeconds(retryAfter(kind)));
--- a/packages/qz_forward/requests/forwardedrequest.h
+++ b/packages/qz_forward/requests/forwardedrequest.h
@@ -22,7 +22,10 @@
 /// be sent to another server, even while the first one has not responded yet (hedging), within
 /// the route's number of attempts and the retry budget. The caller gets the outcome "not run"
 /// only if each server that got the request reported that it was not run.
-/// @see Forwarder, ForwardAttempt
+///
+/// While the servers cannot be reached from here, attempts go to other instances in their place. A
+/// request from another instance goes to one server and never to a third instance.
+/// @see Forwarder, ForwardAttempt, ServicePath
 class ForwardedRequest : private CallerExchangeListener
 {
 public:
@@ -83,6 +86,13 @@
     bool findRoute();
     bool readDeadline();
     bool readRequestBody();
+    /// Returns whether the request comes from another instance of the fleet.
+    bool readSender();
+    int maxAttempts() const { return isFromPeer_ ? 1 : route_->maxAttempts_; }
+    /// Classifies what another instance answered by itself, or nothing if a server's answer came
+    /// through it.
+    std::optional<AttemptResult> classifyPeerAnswer(const ForwardAttempt &attempt) const;
+    void handleUnablePeer(ForwardAttempt &attempt);
     std::vector<PlacementCandidate> makeCandidates() const;
     PlacementRequest makePlacementRequest();
     std::optional<Placement> chooseServer();
@@ -101,6 +111,8 @@
     void scheduleEnd();
     void handleEndTime();
     AttemptResult classify(const ForwardAttempt &attempt) const;
+    /// Returns the head of the response of @p attempt as the caller gets it.
+    HttpHead makeResponseHead(const ForwardAttempt &attempt) const;
     void sendResponse(ForwardAttempt &attempt);
     /// Ends a response that has begun so that the caller does not take its part for the whole.
     void cutResponse(AttemptResult result, const std::string &cause);
@@ -122,6 +134,7 @@
     std::uint64_t receivedBytes_ = 0; ///< Size of the body received so far.
     /// The body arrives while it is sent, so the request cannot be sent a second time.
     bool isBodyStreamed_ = false;
+    bool isFromPeer_ = false;    ///< Another instance has sent it, which cannot reach the servers.
     bool isBodyAwaited_ = false; ///< The request is placed once its body has arrived.
     /// Takes the body while it is streamed; null if the body is held.
     std::unique_ptr<RequestHasher> bodyHasher_;
@@ -137,6 +150,7 @@
     std::uint64_t streamedBytes_ = 0; ///< Of the body of that response.
     int sentAttempts_ = 0;            ///< Ended attempts that had given bytes to a connection.
     int connectFailures_ = 0;
+    int unablePeers_ = 0;     ///< Instances that could not give the request to a server.
     bool mayHaveRun_ = false; ///< A server got the request and did not report it as not run.
     bool isEnded_ = false;
     nlohmann::json attemptLog_ = nlohmann::json::array();
--- a/packages/qz_forward/requests/forwarder.cpp
+++ b/packages/qz_forward/requests/forwarder.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <optional>
 #include <utility>
 
 namespace qz {
@@ -20,6 +21,19 @@
 /// Value of the field by which a server says that it leaves.
 constexpr std::string_view leavingValue = "1";
 
+/// Period of the checks whether servers accept connections again, and the number of servers of a
+/// lost path that are checked.
+constexpr Duration pathCheckPeriod = std::chrono::milliseconds(250);
+constexpr std::size_t pathCheckServers = 4;
+/// Time for which an instance gets no requests after it could not reach the servers either.
+constexpr Duration unableTime = std::chrono::seconds(1);
+/// A health report is dropped if no other server answers for this time.
+constexpr Duration heldReportTime = std::chrono::seconds(1);
+/// Of another instance; servers are not the bottleneck of the way through it.
+constexpr int peerSlots = 32;
+/// The service under which instances are counted in place of servers.
+constexpr const char *peerService = "quetzaldale-instances";
+
 /// Parses requests per second. A text that is no such number names no limit.
 std::optional<double> parseRate(const std::string &text)
 {
@@ -133,6 +147,7 @@
     const auto sentAt = server.overdueRequestStart(loop_.now());
     if (sentAt && server.health().recordOverdue(*sentAt, isRepeatable, loop_.now())) {
         logEjection(server, "overdue");
+        recordPathFailure(server, AttemptResult::Silent, false, false);
     }
 }
 
@@ -150,7 +165,7 @@
 }
 
 void Forwarder::recordAttempt(Backend &server, AttemptResult result, Duration elapsed,
-                              const RequestRoute &route)
+                              const RequestRoute &route, bool isNewConnection)
 {
     const TimePoint now = loop_.now();
     const auto previousState = server.health().state(now);
@@ -161,10 +176,11 @@
     if (result == AttemptResult::Answered) {
         routeLatency.record(elapsed, now);
     }
+    recordPathFailure(server, result, end.isEarly_, isNewConnection);
     if (server.health().record(end, now)) {
         logEjection(server, toString(result));
-        if (healthListener_ && isServerFault(result)) {
-            healthListener_(server, server.health().ejectedUntil() - now);
+        if (isServerFault(result) && !server.listed().isInstance_) {
+            heldReports_.push_back({ server.listed().id_, server.listed().incarnation_, now });
         }
         return;
     }
@@ -178,6 +194,252 @@
     }
 }
 
+void Forwarder::recordPathFailure(Backend &server, AttemptResult result, bool isEarly,
+                                  bool isNewConnection)
+{
+    if (server.listed().isInstance_ || !server.isOpen()) {
+        return;
+    }
+    const ServiceId &service = server.listed().service_;
+    const std::size_t count = backends_.serversOf(service).size();
+    ServicePath &path = paths_[service];
+    const bool wasLost = path.isLost();
+    if (result == AttemptResult::ConnectFailed) {
+        path.recordConnectFailure(server.listed().id_, count, loop_.now());
+    } else if (result == AttemptResult::Silent || (result == AttemptResult::Cut && isEarly)) {
+        path.recordNoAnswer(server.listed().id_, count, isNewConnection, loop_.now());
+    }
+    handlePathChange(service, wasLost);
+}
+
+void Forwarder::recordConnected(const Backend &server)
+{
+    if (server.listed().isInstance_) {
+        return;
+    }
+    ServicePath &path = paths_[server.listed().service_];
+    const bool wasLost = path.isLost();
+    path.recordConnected(loop_.now());
+    handlePathChange(server.listed().service_, wasLost);
+}
+
+void Forwarder::recordAnswerHead(const Backend &server, bool isNewConnection)
+{
+    if (server.listed().isInstance_) {
+        lastPeerAnswer_ = loop_.now();
+        return;
+    }
+    ServicePath &path = paths_[server.listed().service_];
+    const bool wasLost = path.isLost();
+    path.recordAnswer(isNewConnection, loop_.now());
+    handlePathChange(server.listed().service_, wasLost);
+    sendHeldReports(server);
+}
+
+void Forwarder::handlePathChange(const ServiceId &service, bool wasLost)
+{
+    const ServicePath &path = paths_[service];
+    if (path.isLost() == wasLost) {
+        return;
+    }
+    const TimePoint now = loop_.now();
+    log(LogLevel::Info, wasLost ? "service-path-regained" : "service-path-lost",
+        { { "service", service.value() },
+          { "servers", backends_.serversOf(service).size() },
+          { "lost_ms", wasLost ? toMilliseconds(now - path.lostSince()) : 0 } });
+    metrics_.setLostPaths(
+            static_cast<double>(std::count_if(paths_.begin(), paths_.end(), [](const auto &entry) {
+                return entry.second.isLost();
+            })));
+    if (!wasLost) {
+        if (pathCheckTimer_ == nullptr) {
+            pathCheckTimer_ = loop_.callEvery(pathCheckPeriod, [this] { checkLostPaths(); });
+        }
+        return;
+    }
+    checkEjectedServers(service, path.lostSince() - heldReportTime);
+}
+
+void Forwarder::checkEjectedServers(const ServiceId &service, TimePoint since)
+{
+    for (const auto &server : backends_.serversOf(service)) {
+        const ServerHealth &health = server->health();
+        if (health.state(loop_.now()) != ServerHealth::State::Good
+            && health.ejectedSince() >= since) {
+            pathChecks_[service].push_back(std::make_unique<ConnectCheck>(
+                    loop_, server->listed().endpoint_, pathCheckPeriod,
+                    [this, server](ConnectResult result) {
+                        if (result == ConnectResult::Accepted) {
+                            server->health().returnToService(loop_.now());
+                        }
+                    }));
+        }
+    }
+}
+
+void Forwarder::checkLostPaths()
+{
+    bool isAnyLost = false;
+    for (const auto &[service, path] : paths_) {
+        auto &checks = pathChecks_[service];
+        checks.clear();
+        isAnyLost = isAnyLost || path.isLost();
+        if (!path.isOpeningLost()) {
+            continue; // Only a request can show whether servers answer.
+        }
+        std::vector<std::shared_ptr<Backend>> servers;
+        for (const auto &server : backends_.serversOf(service)) {
+            if (server->isOpen()) {
+                servers.push_back(server);
+            }
+        }
+        std::shuffle(servers.begin(), servers.end(), random_);
+        servers.resize(std::min(servers.size(), pathCheckServers));
+        for (const auto &server : servers) {
+            checks.push_back(std::make_unique<ConnectCheck>(
+                    loop_, server->listed().endpoint_, pathCheckPeriod,
+                    [this, server](ConnectResult result) {
+                        if (result == ConnectResult::Accepted) {
+                            recordConnected(*server);
+                        }
+                    }));
+        }
+    }
+    if (!isAnyLost) {
+        pathCheckTimer_.reset();
+    }
+}
+
+bool Forwarder::isPathLost(const ServiceId &service) const
+{
+    const auto found = paths_.find(service);
+    return found != paths_.end() && found->second.isLost();
+}
+
+bool Forwarder::isCutOff() const
+{
+    std::optional<TimePoint> lostSince;
+    TimePoint reachedAt{};
+    for (const auto &[service, path] : paths_) {
+        reachedAt = std::max(reachedAt, path.reachedAt());
+        if (path.isLost()) {
+            lostSince = std::min(lostSince.value_or(path.lostSince()), path.lostSince());
+        }
+    }
+    return lostSince && reachedAt <= *lostSince && lastPeerAnswer_ > *lostSince;
+}
+
+void Forwarder::setPeers(const std::vector<RequestPeer> &peers)
+{
+    std::map<InstanceId, std::shared_ptr<Backend>> next;
+    for (const RequestPeer &peer : peers) {
+        const auto known = peers_.find(peer.id_);
+        if (known != peers_.end() && known->second->listed().endpoint_ == peer.callerEndpoint_) {
+            next.insert(*known);
+            continue;
+        }
+        ListedBackend listed;
+        listed.id_ = BackendServerId(peer.id_.value());
+        listed.service_ = ServiceId(peerService);
+        listed.endpoint_ = peer.callerEndpoint_;
+        listed.location_ = peer.location_;
+        listed.slots_ = peerSlots;
+        listed.isInstance_ = true;
+        next[peer.id_] = std::make_shared<Backend>(loop_, std::move(listed));
+    }
+    peers_ = std::move(next);
+}
+
+void Forwarder::recordUnable(const ServiceId &service, const Backend &peer)
+{
+    unableUntil_[{ service, peer.listed().id_ }] = loop_.now() + unableTime;
+}
+
+std::vector<std::shared_ptr<Backend>> Forwarder::openServers(const ServiceId &service,
+                                                             bool isRepeatable)
+{
+    std::vector<std::shared_ptr<Backend>> found;
+    for (const auto &server : backends_.serversOf(service)) {
+        if (server->isOpen()) {
+            ejectIfOverdue(*server, isRepeatable);
+            server->rateLimit().setRole(serverRole(*server), loop_.now());
+            found.push_back(server);
+        }
+    }
+    // A random order, so that not all instances prefer the same servers.
+    std::shuffle(found.begin(), found.end(), random_);
+    return found;
+}
+
+std::vector<std::shared_ptr<Backend>> Forwarder::ablePeers(const ServiceId &service,
+                                                           bool isRepeatable)
+{
+    const TimePoint now = loop_.now();
+    std::vector<std::shared_ptr<Backend>> found;
+    for (const auto &[id, peer] : peers_) {
+        const auto unable = unableUntil_.find({ service, peer->listed().id_ });
+        if (unable == unableUntil_.end() || now >= unable->second) {
+            ejectIfOverdue(*peer, isRepeatable);
+            found.push_back(peer);
+        }
+    }
+    std::shuffle(found.begin(), found.end(), random_);
+    return found;
+}
+
+std::vector<std::shared_ptr<Backend>> Forwarder::candidates(const ServiceId &service,
+                                                            bool isRepeatable, bool isFirst)
+{
+    auto servers = openServers(service, isRepeatable);
+    if (!isPathLost(service)
+        || (isFirst && paths_[service].tryAcquireTrial(isRepeatable, loop_.now()))) {
+        return servers;
+    }
+    auto peers = ablePeers(service, isRepeatable);
+    if (!peers.empty()) {
+        return peers;
+    }
+    if (paths_[service].isOpeningLost()) {
+        // No instance reaches the servers: only those that were not tried lately are worth it.
+        servers.erase(std::remove_if(servers.begin(), servers.end(),
+                                     [now = loop_.now()](const auto &server) {
+                                         return server->health().state(now)
+                                                 == ServerHealth::State::Ejected;
+                                     }),
+                      servers.end());
+    }
+    return servers;
+}
+
+std::vector<std::shared_ptr<Backend>> Forwarder::candidatesForPeer(const ServiceId &service,
+                                                                   bool isRepeatable)
+{
+    auto servers = openServers(service, isRepeatable);
+    if (isPathLost(service)) {
+        servers.clear(); // The sender knows instances that may reach them.
+    }
+    return servers;
+}
+
+void Forwarder::sendHeldReports(const Backend &reached)
+{
+    const TimePoint now = loop_.now();
+    std::vector<HeldReport> kept;
+    for (const HeldReport &report : std::exchange(heldReports_, {})) {
+        if (now - report.heldAt_ > heldReportTime) {
+            continue;
+        }
+        const auto server = backends_.find(report.server_);
+        if (server.get() == &reached) {
+            kept.push_back(report); // Says nothing about the path to other servers.
+        } else if (server != nullptr && server->listed().incarnation_ == report.incarnation_
+                   && server->health().ejectedUntil() > now && healthListener_) {
+            healthListener_(*server, server->health().ejectedUntil() - now);
+        }
+    }
+    heldReports_.insert(heldReports_.end(), kept.begin(), kept.end());
+}
+
 void Forwarder::recordStatements(Backend &server, const HttpHead &head)
 {
     if (head.status_ == statusMisdirectedRequest) {
--- a/packages/qz_forward/requests/forwarder.h
+++ b/packages/qz_forward/requests/forwarder.h
@@ -37,6 +37,16 @@
     /// Time limit for opening a connection; on expiry the request goes to another server.
     Duration connectTimeout_ = std::chrono::milliseconds(300);
     std::uint64_t fingerprintSeed_ = 0; ///< @see RequestHasher
+    /// Shows that a request comes from an instance of this fleet. Not known to callers.
+    std::string fleetToken_;
+};
+
+/// Another instance, to which requests are given while this one cannot reach the servers.
+struct RequestPeer
+{
+    InstanceId id_;
+    Endpoint callerEndpoint_;
+    Location location_;
 };
 
 /// Owns the requests in progress of one instance and the state that they share: the current
@@ -101,6 +111,14 @@
     /// Applies that, as another instance reported, an incarnation of a server leaves.
     void applyReportedLeaving(const BackendServerId &id, std::int64_t incarnation);
 
+    /// Sets the instances that get requests while this one cannot reach the servers of a service.
+    /// A peer sends such a request to one server, once, and returns what came of it; the number of
+    /// attempts, the retry budget and hedging stay with this instance. @see ServicePath
+    void setPeers(const std::vector<RequestPeer> &peers);
+
+    /// Returns whether this instance reaches no server at all, although others do.
+    bool isCutOff() const;
+
     /// Sets this instance's share of the slack of the retry budgets. @see RetryAllowance
     void setSlackPart(double slackPart);
 
@@ -143,8 +161,9 @@
         return failureRateTrackers_[service];
     }
     /// Records how an attempt at @p server for a request of @p route ended after @p elapsed.
+    /// @p isNewConnection is whether no request had used the connection before.
     void recordAttempt(Backend &server, AttemptResult result, Duration elapsed,
-                       const RequestRoute &route);
+                       const RequestRoute &route, bool isNewConnection);
     /// Ejects @p server if a request to it is overdue. @p isRepeatable is whether the request to
     /// place is. @see ServerHealth::recordOverdue
     void ejectIfOverdue(Backend &server, bool isRepeatable);
@@ -157,6 +176,20 @@
     /// rejected and as fast as the servers accept them.
     Duration reserveReturn(const ServiceId &service,
                            const std::vector<std::shared_ptr<Backend>> &servers, Duration limit);
+    /// Returns the servers, or the instances in place of unreachable servers, that may get a
+    /// request to @p service now, in random order. @p isFirst is whether it was not sent before.
+    std::vector<std::shared_ptr<Backend>> candidates(const ServiceId &service, bool isRepeatable,
+                                                     bool isFirst);
+    /// The same for a request of another instance, which is not given to a third one.
+    std::vector<std::shared_ptr<Backend>> candidatesForPeer(const ServiceId &service,
+                                                            bool isRepeatable);
+    bool isPathLost(const ServiceId &service) const;
+    /// Records that a server accepted a connection.
+    void recordConnected(const Backend &server);
+    /// Records that the head of an answer arrived from a server or an instance.
+    void recordAnswerHead(const Backend &server, bool isNewConnection);
+    /// Records that an instance could not give a request to any server of @p service.
+    void recordUnable(const ServiceId &service, const Backend &peer);
     const CrashQuarantine &quarantine() const { return quarantine_; }
     /// Returns whether any request is suspected to crash servers, so that fingerprints matter.
     bool hasSuspectRequests() const { return !quarantine_.isEmpty() || !crashDetector_.isEmpty(); }
@@ -173,6 +206,25 @@
     void deleteLater(ForwardedRequest *request);
 
 private:
+    /// A health report that waits until this instance is known to reach other servers.
+    struct HeldReport
+    {
+        BackendServerId server_;
+        std::int64_t incarnation_ = 0;
+        TimePoint heldAt_{};
+    };
+    void sendHeldReports(const Backend &reached);
+    std::vector<std::shared_ptr<Backend>> openServers(const ServiceId &service, bool isRepeatable);
+    std::vector<std::shared_ptr<Backend>> ablePeers(const ServiceId &service, bool isRepeatable);
+    /// Records a failure of an attempt that may be due to the path.
+    void recordPathFailure(Backend &server, AttemptResult result, bool isEarly,
+                           bool isNewConnection);
+    /// Logs and handles that a path was lost or regained since @p wasLost was read.
+    void handlePathChange(const ServiceId &service, bool wasLost);
+    void checkLostPaths();
+    /// Returns the servers of @p service that were ejected after @p since, while the path was to
+    /// blame, to service if they accept connections.
+    void checkEjectedServers(const ServiceId &service, TimePoint since);
     void applyCrashes(const CrashHistory &history, std::string_view source);
     std::vector<std::shared_ptr<Backend>> referenceServers(const Backend &server);
     void logEjection(const Backend &server, std::string_view cause);
@@ -197,6 +249,15 @@
     RetryAllowance unusedAllowance_;
     std::map<ServiceId, FailureRateTracker> failureRateTrackers_;
     std::map<ServiceId, TimePoint> lastReturns_; ///< Times that reserveReturn() gave last.
+    std::map<ServiceId, ServicePath> paths_;
+    std::map<InstanceId, std::shared_ptr<Backend>> peers_;
+    /// Until when a peer is taken to reach no server of a service itself.
+    std::map<std::pair<ServiceId, BackendServerId>, TimePoint> unableUntil_;
+    TimePoint lastPeerAnswer_{}; ///< A peer passed on the answer of a server.
+    std::vector<HeldReport> heldReports_;
+    /// Connections to servers of lost paths, by the service.
+    std::map<ServiceId, std::vector<std::unique_ptr<ConnectCheck>>> pathChecks_;
+    Timers::HandlePtr pathCheckTimer_; ///< Set while a path is lost.
     HealthListener healthListener_;
     StatementListener statementListener_;
     ServerRoleProvider serverRoleProvider_;
--- a/packages/qz_forward/tests/forwardertest.cpp
+++ b/packages/qz_forward/tests/forwardertest.cpp
@@ -123,6 +123,7 @@
         settings.location_ = { qz::RegionId("r"), qz::FailureDomainId("d") };
         settings.headers_ = { "X-Id",   "X-Deadline", "X-Expect",  "X-Not-Run",
                               "X-Seal", "X-Limit",    "X-Leaving", "X-Caller" };
+        settings.fleetToken_ = "token-";
         settings.retryBudget_.slack_ = 10.0;
         settings.retryBudget_.window_ = 10ms;
         return settings;
@@ -1214,3 +1215,168 @@
     }
     BOOST_TEST(reads == 2);
 }
+
+namespace {
+
+/// Adds an instance that answers as scripted, and servers that refuse connections.
+RawServer &addPeerAndLosePath(Fixture &fixture, RawServer::Script script)
+{
+    fixture.addServer("a", respondWith(successResponse)).stopListening();
+    fixture.addServer("b", respondWith(successResponse)).stopListening();
+    fixture.servers_.push_back(std::make_unique<RawServer>(fixture.loop_, std::move(script)));
+    RawServer &peer = *fixture.servers_.back();
+    fixture.forwarder_.setPeers({ { qz::InstanceId("i2"),
+                                    peer.endpoint(),
+                                    { qz::RegionId("r"), qz::FailureDomainId("d") } } });
+    return peer;
+}
+
+const std::string unableResponse = "HTTP/1.1 503 Unable\r\nQuetzaldale-Outcome: not-run\r\n"
+                                   "Quetzaldale-Cause: servers-unreachable\r\n"
+                                   "Content-Length: 0\r\n\r\n";
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(requestGoesThroughAnotherInstanceWhileNoServerAcceptsConnections)
+{
+    Fixture fixture;
+    fixture.setRoute(false);
+    const RawServer &peer = addPeerAndLosePath(fixture, respondWith(successResponse));
+    for (int i = 0; i < 3; ++i) {
+        BOOST_TEST(statusOf(fixture.sendRequest()) == 200);
+    }
+    BOOST_TEST(peer.readCount() == 3);
+    BOOST_TEST(contains(peer.received(), "Quetzaldale-Instance-Request: token-service\r\n"));
+    BOOST_TEST(!contains(peer.received(), "X-Expect"));
+    BOOST_TEST(fixture.forwarder_.isPathLost(qz::ServiceId("service")));
+    BOOST_TEST(fixture.forwarder_.isCutOff());
+}
+
+BOOST_AUTO_TEST_CASE(serversAreUsedAgainOnceTheyAcceptConnections)
+{
+    Fixture fixture;
+    fixture.setRoute(false);
+    const RawServer &peer = addPeerAndLosePath(fixture, respondWith(successResponse));
+    BOOST_TEST(statusOf(fixture.sendRequest()) == 200);
+    const RawServer &back = fixture.addServer("c", respondWith(successResponse));
+    fixture.loop_.runFor(400ms);
+    BOOST_TEST(!fixture.forwarder_.isPathLost(qz::ServiceId("service")));
+    BOOST_TEST(!fixture.forwarder_.isCutOff());
+    const int reads = peer.readCount();
+    BOOST_TEST(statusOf(fixture.sendRequest()) == 200);
+    BOOST_TEST(peer.readCount() == reads);
+    BOOST_TEST(back.readCount() == 1);
+}
+
+// Guards against orders that are given to a second instance after the first may have sent them.
+BOOST_AUTO_TEST_CASE(orderWhoseConnectionToAnInstanceBreaksIsNotSentAgain)
+{
+    Fixture fixture;
+    fixture.setRoute(false, 2s, 4);
+    const RawServer &peer = addPeerAndLosePath(fixture, resetOnRead);
+    const std::string response = fixture.sendRequest();
+    BOOST_TEST(statusOf(response) == 502);
+    BOOST_TEST(contains(response, "Quetzaldale-Outcome: unknown"));
+    BOOST_TEST(peer.readCount() == 1);
+    BOOST_TEST(fixture.forwarder_.quarantine().isEmpty());
+}
+
+BOOST_AUTO_TEST_CASE(requestThatNoInstanceCanSendIsRejectedAtOnceAsNotRun)
+{
+    Fixture fixture;
+    fixture.setRoute(true, 2s, 4);
+    const RawServer &peer = addPeerAndLosePath(fixture, respondWith(unableResponse));
+    for (int i = 0; i < 5; ++i) {
+        const auto begin = fixture.loop_.now();
+        const std::string response = fixture.sendRequest(50ms);
+        BOOST_TEST(statusOf(response) == 503);
+        BOOST_TEST(contains(response, "Quetzaldale-Outcome: not-run"));
+        BOOST_CHECK(fixture.loop_.now() - begin < 100ms);
+    }
+    BOOST_TEST(peer.readCount() == 1); // It is not asked again for some time.
+}
+
+// Guards against requests that go round between instances.
+BOOST_AUTO_TEST_CASE(requestOfAnotherInstanceIsNotGivenToAThirdOne)
+{
+    Fixture fixture;
+    fixture.setRoute(true, 2s, 4);
+    const RawServer &peer = addPeerAndLosePath(fixture, respondWith(successResponse));
+    const std::string field = "Quetzaldale-Instance-Request: token-service\r\n";
+    for (int i = 0; i < 2; ++i) {
+        const std::string response = fixture.sendRequest(400ms, field);
+        BOOST_TEST(statusOf(response) == 503);
+        BOOST_TEST(contains(response, "Quetzaldale-Outcome: not-run"));
+    }
+    BOOST_TEST(peer.readCount() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(requestOfAnotherInstanceIsSentToOneServer)
+{
+    Fixture fixture;
+    fixture.setRoute(true, 2s, 4);
+    const RawServer &first = fixture.addServer("a", resetOnRead);
+    const RawServer &second = fixture.addServer("b", respondWith(successResponse));
+    const std::string field = "Quetzaldale-Instance-Request: token-service\r\n";
+    BOOST_TEST(statusOf(fixture.sendRequest(400ms, field)) == 502);
+    BOOST_TEST(first.readCount() == 1);
+    BOOST_TEST(second.readCount() == 0);
+    BOOST_TEST(!contains(first.received(), "Quetzaldale-Instance-Request"));
+}
+
+BOOST_AUTO_TEST_CASE(callersCannotPassForInstances)
+{
+    Fixture fixture;
+    fixture.setRoute(true, 2s, 4);
+    const RawServer &server = fixture.addServer("a", resetOnRead);
+    fixture.addServer("b", respondWith(successResponse));
+    const std::string field = "Quetzaldale-Instance-Request: tokenservice\r\n";
+    BOOST_TEST(statusOf(fixture.sendRequest(400ms, field)) == 200);
+    BOOST_TEST(!contains(server.received(), "Quetzaldale-Instance-Request"));
+}
+
+// Guards against a server's answer that is taken for an instance's promise.
+BOOST_AUTO_TEST_CASE(serversCannotPromiseInTheNameOfInstances)
+{
+    Fixture fixture;
+    fixture.setRoute(false);
+    fixture.addServer("a",
+                      respondWith("HTTP/1.1 500 Failed\r\nX-Id: 1\r\nX-Seal: s\r\n"
+                                  "Quetzaldale-Outcome: not-run\r\n"
+                                  "Quetzaldale-Cause: servers-unreachable\r\n"
+                                  "Content-Length: 0\r\n\r\n"));
+    const std::string response = fixture.sendRequest();
+    BOOST_TEST(statusOf(response) == 500);
+    BOOST_TEST(!contains(response, "Quetzaldale-Outcome"));
+    BOOST_TEST(!contains(response, "Quetzaldale-Cause"));
+}
+
+// Guards against ejections elsewhere, or after the end, due to the path of one instance.
+BOOST_AUTO_TEST_CASE(instanceThatReachesNoServerBlamesNone)
+{
+    Fixture fixture;
+    fixture.setRoute(false);
+    int reports = 0;
+    fixture.forwarder_.setHealthListener([&reports](const auto &, auto) { ++reports; });
+    bool isPathCut = true;
+    const RawServer::Script script = [&isPathCut](bufferevent *stream, int /*reads*/) {
+        if (isPathCut) {
+            resetConnection(stream);
+        } else {
+            write(stream, successResponse);
+        }
+    };
+    for (const char *id : { "a", "b", "c" }) {
+        fixture.addServer(id, script);
+    }
+    for (int i = 0; i < 3; ++i) {
+        BOOST_TEST(statusOf(fixture.sendRequest()) == 502);
+    }
+    BOOST_TEST(fixture.forwarder_.isPathLost(qz::ServiceId("service")));
+    BOOST_TEST(reports == 0);
+    isPathCut = false;
+    BOOST_TEST(statusOf(fixture.sendRequest()) == 200);
+    for (const auto &[id, server] : fixture.backends_.all()) {
+        BOOST_CHECK(server->health().state(fixture.loop_.now()) == qz::ServerHealth::State::Good);
+    }
+}
--- a/packages/qz_placement/health/serverhealth.cpp
+++ b/packages/qz_placement/health/serverhealth.cpp
@@ -32,6 +32,7 @@
     case AttemptResult::Overtaken:
         return end.silence_; // A short deadline is no fault of the server.
     case AttemptResult::Answered:
+    case AttemptResult::Unable:
     case AttemptResult::Cancelled:
         break;
     }
@@ -59,6 +60,8 @@
         return "connect-failed";
     case AttemptResult::WrongInstance:
         return "wrong-instance";
+    case AttemptResult::Unable:
+        return "unable";
     case AttemptResult::Overtaken:
         return "overtaken";
     case AttemptResult::Cancelled:
--- a/packages/qz_placement/health/serverhealth.h
+++ b/packages/qz_placement/health/serverhealth.h
@@ -18,6 +18,7 @@
     TimedOut,      ///< No answer before the deadline of the request.
     ConnectFailed, ///< The connection could not be opened; nothing was sent.
     WrongInstance, ///< A different server uses the address now.
+    Unable,        ///< An instance could not give the request to any server.
     Overtaken,     ///< Another attempt of the request was answered first.
     Cancelled,     ///< Cancelled for a reason unrelated to the server.
 };
--- a/packages/qz_placement/qz_placement.h
+++ b/packages/qz_placement/qz_placement.h
@@ -8,6 +8,7 @@
 #include "qz_placement/health/failureratetracker.h"
 #include "qz_placement/health/routelatency.h"
 #include "qz_placement/health/serverhealth.h"
+#include "qz_placement/health/servicepath.h"
 #include "qz_placement/limits/serverratelimit.h"
 #include "qz_placement/quarantine/crashquarantine.h"
 #include "qz_placement/retries/hedging.h"
--- a/packages/qz_presence/directory/instancedirectory.cpp
+++ b/packages/qz_presence/directory/instancedirectory.cpp
@@ -173,6 +173,24 @@
     return peers;
 }
 
+std::vector<InstanceRecord> InstanceDirectory::requestPeers(TimePoint now) const
+{
+    std::vector<InstanceRecord> found;
+    const std::size_t domainSize = domainSizes().at(self_.location_.failureDomain_.value());
+    for (const InstanceRecord &record : domainPeers()) {
+        const KnownInstance &known = others_.at(record.id_.value());
+        if (found.size() < requestPeersOf(domainSize) && known.state_.isReady_
+            && isLiveInSameDomain(known, now)) {
+            found.push_back(record);
+        }
+    }
+    const auto remote =
+            preferredInOtherDomains("", &InstanceRecord::processorShare_,
+                                    [this](std::size_t size) { return requestPeersOf(size); });
+    found.insert(found.end(), remote.begin(), remote.end());
+    return found;
+}
+
 std::vector<InstanceRecord> InstanceDirectory::remoteEntries() const
 {
     return preferredInOtherDomains("", &InstanceRecord::processorShare_,
--- a/packages/qz_presence/directory/instancedirectory.h
+++ b/packages/qz_presence/directory/instancedirectory.h
@@ -99,6 +99,11 @@
     /// messages: live ones first, then by the capacity of their links.
     std::vector<InstanceRecord> relays(TimePoint now) const;
 
+    /// Returns the instances that may get this one's requests while it cannot reach the servers: of
+    /// each failure domain more than its entry instances, since some may be cut off too. Those of
+    /// this domain are ready.
+    std::vector<InstanceRecord> requestPeers(TimePoint now) const;
+
     /// Returns the entry instances of each other failure domain, assuming that all of its
     /// instances are live.
     std::vector<InstanceRecord> remoteEntries() const;
@@ -138,6 +143,7 @@
             const std::string &keySuffix, Preference preference,
             const std::function<std::size_t(std::size_t)> &countOf) const;
     std::size_t entriesOf(std::size_t domainSize) const;
+    std::size_t requestPeersOf(std::size_t domainSize) const { return entriesOf(domainSize) + 1; }
     /// Returns the number of known instances by failure domain.
     std::map<std::string, std::size_t> domainSizes() const;
 
