Refuse answers whose status is not one of HTTP

Callers could get an answer with a status from 600 to 999 of a backend server in trouble; 000 to 099 were refused already. The first interface's client took 099, 600 and 999 for answers. The range was checked at its lower end, in one reader of two. Both now refuse what is not from 100 to 599: the caller gets 502, of unknown outcome.

onlyStatusesFrom100To599AreStatuses, answersWithoutAProperStatusReachNoCaller and anAnswerWithoutAProperStatusIsRefused failed before (600, 999; 099, 600, 999). The model of the fuzz test knows the range and draws 000 and 600.

--- a/packages/qz_forward/tests/forwardertest.cpp
+++ b/packages/qz_forward/tests/forwardertest.cpp
@@ -1380,3 +1380,19 @@
         BOOST_CHECK(server->health().state(fixture.loop_.now()) == qz::ServerHealth::State::Good);
     }
 }
+
+// Guards against a status that is none and is passed on to the caller as an answer.
+BOOST_AUTO_TEST_CASE(answersWithoutAProperStatusReachNoCaller)
+{
+    for (const std::string status : { "000", "099", "600", "999" }) {
+        Fixture fixture;
+        fixture.setRoute(false);
+        fixture.addServer("a",
+                          respondWith("HTTP/1.1 " + status
+                                      + " X\r\nX-Id: 1\r\nX-Seal: s\r\n"
+                                        "Content-Length: 2\r\n\r\nok"));
+        const std::string response = fixture.sendRequest();
+        BOOST_TEST(statusOf(response) == 502, status);
+        BOOST_TEST(contains(response, "Quetzaldale-Outcome: unknown"));
+    }
+}
--- a/packages/qz_http/client/httpconnection.cpp
+++ b/packages/qz_http/client/httpconnection.cpp
@@ -211,6 +211,9 @@
     }
     HttpResponse response;
     response.status_ = evhttp_request_get_response_code(request);
+    if (!isStatus(response.status_)) {
+        return failure(ErrorKind::AnswerMismatch, "the answer has no proper status");
+    }
     const evkeyvalq *headers = evhttp_request_get_input_headers(request);
     for (const evkeyval *header = headers->tqh_first; header != nullptr;
          header = header->next.tqe_next) {
--- a/packages/qz_http/messages/httpmessages.h
+++ b/packages/qz_http/messages/httpmessages.h
@@ -8,6 +8,14 @@
 
 namespace qz {
 
+/// Returns whether @p status is one of HTTP. Servers in trouble send others, such as 000.
+constexpr bool isStatus(int status)
+{
+    constexpr int first = 100;
+    constexpr int last = 599;
+    return status >= first && status <= last;
+}
+
 struct HttpHeader
 {
     std::string name_;
--- a/packages/qz_http/stream/httpstreamparser.cpp
+++ b/packages/qz_http/stream/httpstreamparser.cpp
@@ -16,7 +16,6 @@
 
 namespace http = boost::beast::http;
 
-constexpr int firstStatus = 100;
 constexpr int firstFinalStatus = 200;
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
@@ -103,7 +102,7 @@
 
     void on_response_impl(int status, Text reason, int version, ErrorCode &error) override
     {
-        if (status < firstStatus) {
+        if (!isStatus(status)) {
             error = http::error::bad_status;
         } else if (hasStatusLine(toStd(reason))) {
             error = http::error::bad_reason;
--- a/packages/qz_http/tests/headfuzztest.cpp
+++ b/packages/qz_http/tests/headfuzztest.cpp
@@ -128,9 +128,9 @@
                     && isAll(middle, isVisible) && readVersion(right, isHttp11);
         }
         head.start_ = middle;
-        // A status below 100 is none, and interim answers are read over.
+        // A status below 100 or above 599 is none, and interim answers are read over.
         return readVersion(left, isHttp11) && middle.size() == 3 && isDigits(middle)
-                && middle >= "200" && isAll(right, &isText);
+                && middle >= "200" && middle < "600" && isAll(right, &isText);
     }
 
     static bool readField(const std::string &line, ReadHead &head)
@@ -279,7 +279,7 @@
                         + pick(" ", " ", " ", "  ", "\t") + pick("/", "/a/b?c=%20", "/\x80", "*")
                         + pick(" ", " ", " ", "  ") + drawVersion()
                                      : drawVersion() + pick(" ", " ", " ", "  ")
-                        + pick("200", "204", "503", "20", "2000") + pick(" ", " ", "")
+                        + pick("200", "204", "503", "20", "2000", "000", "600") + pick(" ", " ", "")
                         + pick("OK", "", "No\tway", "\x01");
         text += drawLineEnd();
         if (isRequest && draws(0.95)) {
--- a/packages/qz_http/tests/httpconnectiontest.cpp
+++ b/packages/qz_http/tests/httpconnectiontest.cpp
@@ -144,3 +144,16 @@
     loop.runFor(50ms);
     BOOST_TEST(!wasCalled);
 }
+
+// Guards against a status that is none and is taken for that of an answer.
+BOOST_AUTO_TEST_CASE(anAnswerWithoutAProperStatusIsRefused)
+{
+    for (const std::string status : { "000", "099", "600", "999" }) {
+        qz::EventLoop loop;
+        RawServer server(loop, [&status](bufferevent *stream, int /*reads*/) {
+            write(stream, "HTTP/1.1 " + status + " X\r\nContent-Length: 1\r\n\r\nA");
+        });
+        Client client(loop, server.endpoint());
+        BOOST_TEST(client.get("1").has_error(), status);
+    }
+}
--- a/packages/qz_http/tests/httpstreamparsertest.cpp
+++ b/packages/qz_http/tests/httpstreamparsertest.cpp
@@ -430,3 +430,22 @@
                == "POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n");
     BOOST_TEST(qz::formatChunk(std::string(17, 'x')) == "11\r\n" + std::string(17, 'x') + "\r\n");
 }
+
+// Guards against an answer of a server in trouble, with a status that is none, that reaches a
+// caller.
+BOOST_AUTO_TEST_CASE(onlyStatusesFrom100To599AreStatuses)
+{
+    for (const std::string status :
+         { "000", "001", "099", "600", "999", "20", "2000", "-20", "2x0" }) {
+        Messages messages(qz::HttpRole::Response);
+        BOOST_TEST(!messages.feed("HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok", 1000),
+                   status);
+        BOOST_TEST(messages.messages_.empty());
+    }
+    for (const std::string status : { "200", "299", "499", "599" }) {
+        Messages messages(qz::HttpRole::Response);
+        BOOST_TEST(messages.feed("HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok", 1000),
+                   status);
+        BOOST_TEST(messages.messages_.size() == 1);
+    }
+}
