Tell leaving servers with the requests that instances pass on

An answer that names the leaving, passed on through two instances, was known to the second one by its report only.

Instances now name the leaving servers of the service with each request that they pass on, and with its answer.

--- a/packages/qz_forward/requests/forwardattempt.cpp
+++ b/packages/qz_forward/requests/forwardattempt.cpp
@@ -105,8 +105,9 @@
     if (id) {
         request_.forwarder().recordAnswerHead(*server_, isNewConnection_);
     }
-    // What a server says of itself is known to the instance that passed its answer on.
-    if (id && !server_->listed().isInstance_) {
+    if (id && server_->listed().isInstance_) {
+        request_.applyLeavingServers(head.headers_);
+    } else if (id) {
         request_.forwarder().recordStatements(*server_, head);
     }
     removeFieldsOfConnection(head.headers_);
--- a/packages/qz_forward/requests/forwardedrequest.cpp
+++ b/packages/qz_forward/requests/forwardedrequest.cpp
@@ -10,6 +10,7 @@
 #include <cassert>
 #include <charconv>
 #include <cstdio>
+#include <sstream>
 #include <utility>
 
 namespace qz {
@@ -27,6 +28,8 @@
 constexpr int maxUnablePeers = 4;
 /// Field of a request that one instance gives to another: the token of the fleet and the service.
 constexpr const char *peerField = "Quetzaldale-Instance-Request";
+/// Field between instances: servers that have said that they leave, as ID:INCARNATION, by spaces.
+constexpr const char *leavingServersField = "Quetzaldale-Leaving-Servers";
 // Fields of the answers that an instance gives by itself.
 constexpr const char *outcomeField = "Quetzaldale-Outcome";
 constexpr const char *causeField = "Quetzaldale-Cause";
@@ -56,6 +59,11 @@
     return text.data();
 }
 
+std::string formatLeaving(const Backend &server)
+{
+    return server.listed().id_.value() + ":" + std::to_string(server.listed().incarnation_);
+}
+
 std::optional<Duration> parseMilliseconds(const std::string &text)
 {
     std::int64_t value = 0;
@@ -243,6 +251,7 @@
         || !isEqualInConstantTime(value->substr(0, token.size()), token)) {
         return false;
     }
+    applyLeavingServers(exchange_->head().headers_);
     // The sender has divided its requests between the services of the route.
     const std::string service = value->substr(token.size());
     const auto share = std::find_if(
@@ -252,6 +261,21 @@
     return true;
 }
 
+void ForwardedRequest::applyLeavingServers(const HttpHeaders &headers)
+{
+    std::istringstream entries(headers.find(leavingServersField).value_or(""));
+    std::string entry;
+    while (entries >> entry) {
+        const std::size_t colon = entry.rfind(':');
+        std::int64_t incarnation = 0;
+        const char *end = entry.data() + entry.size();
+        if (colon != std::string::npos
+            && std::from_chars(entry.data() + colon + 1, end, incarnation).ptr == end) {
+            forwarder_.applyReportedLeaving(BackendServerId(entry.substr(0, colon)), incarnation);
+        }
+    }
+}
+
 bool ForwardedRequest::readRequestBody()
 {
     isBodyStreamed_ = !exchange_->isBodyComplete();
@@ -275,8 +299,18 @@
     head.headers_.set(names.deadline_,
                       std::to_string(std::max<std::int64_t>(1, toMilliseconds(left))));
     head.headers_.remove(peerField);
+    head.headers_.remove(leavingServersField);
     if (server.listed().isInstance_) {
         head.headers_.set(peerField, forwarder_.settings().fleetToken_ + service_.value());
+        // The peer may have started since, and know of none.
+        std::string leaving;
+        for (const auto &other : forwarder_.backends().serversOf(service_)) {
+            leaving += other->isLeaving() ? formatLeaving(*other) + " " : "";
+        }
+        if (!leaving.empty()) {
+            leaving.pop_back();
+            head.headers_.set(leavingServersField, leaving);
+        }
     } else {
         head.headers_.set(names.expectServer_, server.listed().id_.value());
     }
@@ -650,6 +684,10 @@
         head.headers_.remove(outcomeField);
         head.headers_.remove(causeField);
     }
+    head.headers_.remove(leavingServersField);
+    if (isFromPeer_ && attempt.server().isLeaving()) {
+        head.headers_.set(leavingServersField, formatLeaving(attempt.server()));
+    }
     return head;
 }
 
--- a/packages/qz_forward/requests/forwardedrequest.h
+++ b/packages/qz_forward/requests/forwardedrequest.h
@@ -47,6 +47,8 @@
     const RequestRoute &route() const { return *route_; }
     /// Returns the request head to send to @p server.
     HttpHead makeRequestHead(const Backend &server) const;
+    /// Applies what another instance says of servers that leave.
+    void applyLeavingServers(const HttpHeaders &headers);
     /// Returns the part of the body that had arrived when the request was started.
     const std::string &bufferedBody() const { return body_; }
     /// Returns the data of a streamed body that arrived since the last call.
--- a/packages/qz_forward/tests/forwardertest.cpp
+++ b/packages/qz_forward/tests/forwardertest.cpp
@@ -1396,3 +1396,39 @@
         BOOST_TEST(contains(response, "Quetzaldale-Outcome: unknown"));
     }
 }
+
+// Guards against requests through an instance that has forgotten, or never heard, that a server
+// leaves.
+BOOST_AUTO_TEST_CASE(instancesTellEachOtherOfLeavingServersWithARequest)
+{
+    Fixture fixture;
+    fixture.setRoute(false);
+    const RawServer &peer =
+            addPeerAndLosePath(fixture,
+                               respondWith(responseHead
+                                           + "X-Leaving: 1\r\nQuetzaldale-Leaving-Servers: b:1\r\n"
+                                             "Content-Length: 2\r\n\r\nok"));
+    fixture.forwarder_.applyReportedLeaving(qz::BackendServerId("a"), 1);
+    fixture.addServer("c", respondWith(successResponse)).stopListening();
+    const std::string response = fixture.sendRequest();
+    BOOST_TEST(statusOf(response) == 200);
+    BOOST_TEST(contains(peer.received(), "Quetzaldale-Leaving-Servers: a:1\r\n"));
+    BOOST_TEST(!contains(response, "Quetzaldale-Leaving-Servers"));
+    BOOST_TEST(fixture.backends_.find(qz::BackendServerId("b"))->isLeaving());
+}
+
+BOOST_AUTO_TEST_CASE(onlyInstancesMayNameLeavingServers)
+{
+    const std::string leaving = "Quetzaldale-Leaving-Servers: b:1 a:x a :1\r\n";
+    for (const bool isInstance : { false, true }) {
+        Fixture fixture;
+        fixture.setRoute(false);
+        fixture.addServer("a", respondWith(successResponse));
+        fixture.addServer("b", respondWith(successResponse));
+        const std::string token = isInstance ? "Quetzaldale-Instance-Request: token-service\r\n"
+                                             : "Quetzaldale-Instance-Request: other-service\r\n";
+        BOOST_TEST(statusOf(fixture.sendRequest(400ms, token + leaving)) == 200);
+        BOOST_TEST(fixture.backends_.find(qz::BackendServerId("b"))->isLeaving() == isInstance);
+        BOOST_TEST(!fixture.backends_.find(qz::BackendServerId("a"))->isLeaving());
+    }
+}
