--- a/apps/quetzaldaled/tests/servecrashtest.cpp
+++ b/apps/quetzaldaled/tests/servecrashtest.cpp
@@ -83,33 +83,12 @@
                                                                  i % 2 == 0 ? "d" : "e"));
         }
         for (const auto &instance : instances_) {
-            awaitReady(*instance);
+            BOOST_REQUIRE(awaitReady(loop_, *instance));
         }
         loop_.runFor(1500ms); // Until the instances know each other.
     }
 
-    /// Runs the loop for @p time, whichever connections end meanwhile.
-    void runFor(qz::Duration time)
-    {
-        const auto end = loop_.now() + time;
-        while (loop_.now() < end) {
-            loop_.runFor(end - loop_.now());
-        }
-    }
-
-    void awaitReady(const ServeInstance &instance)
-    {
-        for (int i = 0; i < 100; ++i) {
-            RawClient client(loop_, instance.ready_);
-            client.send("GET /v1/ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
-            client.awaitEnd(500ms);
-            if (client.received().substr(0, 12) == "HTTP/1.1 200") {
-                return;
-            }
-            loop_.runFor(50ms);
-        }
-        BOOST_FAIL("an instance is not ready in time");
-    }
+    void runFor(qz::Duration time) { qz::testing::runFor(loop_, time); }
 
     void startServer()
     {
@@ -308,7 +287,7 @@
         fixture.runFor(20ms);
     }
     restarted.start();
-    fixture.awaitReady(restarted);
+    BOOST_REQUIRE(awaitReady(fixture.loop_, restarted));
     const auto begin = fixture.loop_.now();
     std::vector<std::size_t> numbers;
     for (int i = 0; i < 10; ++i) {
--- a/apps/quetzaldaled/tests/servecutofftest.cpp
+++ b/apps/quetzaldaled/tests/servecutofftest.cpp
@@ -92,7 +92,7 @@
         }
         updateProcesses();
         for (const auto &instance : instances_) {
-            awaitReady(*instance);
+            BOOST_REQUIRE(awaitReady(loop_, *instance));
         }
         runFor(1500ms); // Until the instances know each other.
     }
@@ -108,28 +108,7 @@
         }
     }
 
-    void awaitReady(const ServeInstance &instance)
-    {
-        for (int i = 0; i < 100; ++i) {
-            RawClient client(loop_, instance.ready_);
-            client.send("GET /v1/ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
-            client.awaitEnd(500ms);
-            if (client.received().substr(0, 12) == "HTTP/1.1 200") {
-                return;
-            }
-            runFor(50ms);
-        }
-        BOOST_FAIL("an instance is not ready in time");
-    }
-
-    /// Runs the loop for @p time, whichever connections end meanwhile.
-    void runFor(qz::Duration time)
-    {
-        const auto end = loop_.now() + time;
-        while (loop_.now() < end) {
-            loop_.runFor(end - loop_.now());
-        }
-    }
+    void runFor(qz::Duration time) { qz::testing::runFor(loop_, time); }
 
     void run(const std::shared_ptr<qz::CallerExchange> &exchange)
     {
--- a/apps/quetzaldaled/tests/serveinstance.h
+++ b/apps/quetzaldaled/tests/serveinstance.h
@@ -1,7 +1,9 @@
 // The process of an instance on a fake store.
 #pragma once
 
+#include "platform/platformnames.h"
 #include "qz_core/ids/ids.h"
+#include "qz_http/tests/rawsocket.h"
 #include "testbed/daemonprocess.h"
 #include "testbed/listenports.h"
 
@@ -56,4 +58,30 @@
     std::unique_ptr<DaemonProcess> process_;
 };
 
+/// Runs the loop for @p time, whichever connections end meanwhile.
+inline void runFor(EventLoop &loop, Duration time)
+{
+    const TimePoint end = loop.now() + time;
+    while (loop.now() < end) {
+        loop.runFor(end - loop.now());
+    }
+}
+
+/// Runs the loop until the instance is ready. Returns false if that takes longer than some seconds.
+inline bool awaitReady(EventLoop &loop, const ServeInstance &instance)
+{
+    constexpr int tries = 100;
+    for (int i = 0; i < tries; ++i) {
+        RawClient client(loop, instance.ready_);
+        client.send(std::string("GET ") + platform::readyPath
+                    + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        client.awaitEnd(std::chrono::milliseconds(500));
+        if (client.received().substr(0, 12) == "HTTP/1.1 200") {
+            return true;
+        }
+        runFor(loop, std::chrono::milliseconds(50));
+    }
+    return false;
+}
+
 } // namespace qz::testing
