--- a/packages/qz_forward/requests/forwarder.h
+++ b/packages/qz_forward/requests/forwarder.h
@@ -50,13 +50,15 @@
 };
 
 /// Owns the requests in progress of one instance and the state that they share: the current
-/// routes, the backend servers, and latencies and retry budgets by service.
-/// @see ForwardedRequest
+/// routes, the backend servers, latencies, retry budgets and network paths by service, the other
+/// instances that get requests while a path is lost, and the requests that crash servers.
+/// @see ForwardedRequest, ServicePath, CrashQuarantine
 class Forwarder
 {
 public:
     /// Called with the ejection time when this instance ejects a server for a fault of the server
-    /// itself, or with zero when an ejected server has recovered. @see isServerFault
+    /// itself, once another server has answered, which rules out the network path; or with zero
+    /// when an ejected server has recovered. @see isServerFault
     using HealthListener = std::function<void(const Backend &server, Duration ejectionTime)>;
 
     /// Called when a response shows that a server leaves, names a limit for the first time, with
